--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,144 @@
+// Package settings reads the INI settings of the project's processes into
+// typed, checked structures.
+package settings
+
+import "time"
+
+// Node says what every process of the system must know of itself.
+type Node struct {
+	// ID is the process's name, unique in the system.
+	ID string `ini:"id" check:"required"`
+	// DataCentre and Region say where the process runs.
+	DataCentre string `ini:"data_centre" check:"required"`
+	Region     string `ini:"region"`
+}
+
+// TLS names the certificates for the operators' and peers' listeners.
+type TLS struct {
+	Certificate string `ini:"certificate"`
+	Key         string `ini:"key"`
+	Authority   string `ini:"authority"`
+	// Insecure allows plain TCP on addresses other than loopback.
+	Insecure bool `ini:"insecure"`
+}
+
+// Peer is another process of the system, from a [peer NAME] section.
+type Peer struct {
+	ID         string `ini:"-"`
+	Address    string `ini:"address" check:"required,hostport"`
+	DataCentre string `ini:"data_centre" check:"required"`
+}
+
+// EntryListen holds the addresses of an entry node, IP:port each.
+type EntryListen struct {
+	Callers   string `ini:"callers" check:"required,hostport"`
+	Operators string `ini:"operators" check:"required,hostport"`
+	Peers     string `ini:"peers" check:"required,hostport"`
+}
+
+// Telemetry says where traces go.
+type Telemetry struct {
+	// TraceFile receives finished spans as JSON lines; empty turns them off.
+	TraceFile string `ini:"trace_file"`
+}
+
+// Entry holds the settings of wigeon-entry.
+type Entry struct {
+	Node      Node        `ini:"node"`
+	Listen    EntryListen `ini:"listen"`
+	TLS       TLS         `ini:"tls"`
+	Telemetry Telemetry   `ini:"telemetry"`
+	Limits    EntryLimits `ini:"limits"`
+	// Controls are the control processes, from [control NAME] sections.
+	Controls []Peer `ini:"control" check:"peers"`
+	// Peers are other entry nodes to begin with, from [peer NAME] sections.
+	Peers []Peer `ini:"peer" check:"peers"`
+}
+
+// EntryLimits bounds what an entry node takes in.
+type EntryLimits struct {
+	// BodyBytes bounds a caller's body.
+	BodyBytes int64 `ini:"body_bytes" check:"positive"`
+	// MaxDeadline bounds the deadline that a caller may ask for.
+	MaxDeadline time.Duration `ini:"max_deadline" check:"positive"`
+	// DrainTime is how long the node stays up, not ready, so that the balancer
+	// takes it out before it stops accepting.
+	DrainTime time.Duration `ini:"drain_time" check:"positive"`
+	// Policy is "shipped" or "baseline"; the baseline is for comparison only.
+	Policy string `ini:"policy" check:"oneof=shipped|baseline"`
+}
+
+// ControlListen holds the addresses of a control process, IP:port each.
+type ControlListen struct {
+	// Peers serves entry nodes, other replicas and operators by net/rpc.
+	Peers     string `ini:"peers" check:"required,hostport"`
+	Operators string `ini:"operators" check:"required,hostport"`
+}
+
+// Storage says where durable state lives.
+type Storage struct {
+	// Folder is the data folder, created when it doesn't exist.
+	Folder string `ini:"folder" check:"required"`
+	// SegmentBytes is the size at which a log segment is closed.
+	SegmentBytes int64 `ini:"segment_bytes" check:"positive"`
+	// SnapshotEntries is the number of applied entries between snapshots.
+	SnapshotEntries int `ini:"snapshot_entries" check:"positive"`
+}
+
+// Replication holds the times of the control group.
+type Replication struct {
+	Heartbeat       time.Duration `ini:"heartbeat" check:"positive"`
+	ElectionTimeout time.Duration `ini:"election_timeout" check:"positive"`
+	// LedgerRetention is how long a key's outcome is kept.
+	LedgerRetention time.Duration `ini:"ledger_retention" check:"positive"`
+}
+
+// Control holds the settings of wigeon-control.
+type Control struct {
+	Node        Node          `ini:"node"`
+	Listen      ControlListen `ini:"listen"`
+	TLS         TLS           `ini:"tls"`
+	Telemetry   Telemetry     `ini:"telemetry"`
+	Storage     Storage       `ini:"storage"`
+	Replication Replication   `ini:"replication"`
+	// Group is the name of the control group; replicas of another are refused.
+	Group string `ini:"group" check:"required"`
+	// Join makes the process wait, as a learner, to be brought in by
+	// wigeonctl replace; without it an empty folder founds the group.
+	Join bool `ini:"join"`
+	// Members are the group's first voters, from [member NAME] sections, this
+	// process included.
+	Members []Peer `ini:"member" check:"peers"`
+}
+
+// Searcher holds the settings of wigeon-searcher, the stand-in target. One
+// process can run many searchers.
+type Searcher struct {
+	Node      Node      `ini:"node"`
+	Telemetry Telemetry `ini:"telemetry"`
+	// Announce lists the entry nodes' callers' addresses to announce to,
+	// separated by commas; each announcement goes to one of them.
+	Announce []string `ini:"announce" check:"required,hostport"`
+	// Targets are the searchers to run, from [target NAME] sections.
+	Targets []Target `ini:"target"`
+}
+
+// Target is one stand-in searcher.
+type Target struct {
+	Name    string `ini:"-"`
+	Service string `ini:"service" check:"required"`
+	Listen  string `ini:"listen" check:"required,hostport"`
+	// Catalogue is "lots" or "declarations".
+	Catalogue    string `ini:"catalogue" check:"oneof=lots|declarations"`
+	LayoutShards int    `ini:"layout_shards" check:"positive"`
+	// Shards lists the shards held, such as 0-3,7.
+	Shards      string        `ini:"shards" check:"required"`
+	Version     uint64        `ini:"version" check:"positive"`
+	Slots       int           `ini:"slots" check:"positive"`
+	Connections int           `ini:"connections" check:"positive"`
+	AcceptDelay time.Duration `ini:"accept_delay"`
+	// ServiceTime is the median time that one request takes.
+	ServiceTime time.Duration `ini:"service_time"`
+	ColdStart   time.Duration `ini:"cold_start"`
+	Lease       time.Duration `ini:"lease" check:"positive"`
+}
