Operators' view of an entry node: status and explanation

Cause: wigeonctl and the entry node are written side by side and need one set of types. Change: internal/api/operator.go. No behaviour, nothing to measure.

--- /dev/null
+++ b/internal/api/operator.go
@@ -0,0 +1,74 @@
+package api
+
+// EntryStatus is what an entry node tells operators at /v1/status of its
+// operators' address.
+type EntryStatus struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	Draining   bool   `json:"draining"`
+	// ConfigVersion is the version of the configuration in force.
+	ConfigVersion uint64 `json:"config_version"`
+	// ConfigAgeMS is the time in milliseconds since a control quorum last
+	// confirmed the configuration; -1 means never.
+	ConfigAgeMS int64          `json:"config_age_ms"`
+	Members     []EntryMember  `json:"members"`
+	Targets     []TargetStatus `json:"targets"`
+}
+
+// EntryMember is an entry node as another one sees it.
+type EntryMember struct {
+	ID          string `json:"id"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation uint64 `json:"incarnation"`
+	State       string `json:"state"`
+}
+
+// TargetStatus is a target as an entry node sees it.
+type TargetStatus struct {
+	Target           TargetID    `json:"target"`
+	Service          string      `json:"service"`
+	DataCentre       string      `json:"data_centre"`
+	Address          string      `json:"address"`
+	State            TargetState `json:"state"`
+	Snapshots        []Snapshot  `json:"snapshots"`
+	InFlight         int         `json:"in_flight"`
+	ConcurrencyLimit int         `json:"concurrency_limit"`
+	Connections      int         `json:"connections"`
+	ConnectionBudget int         `json:"connection_budget"`
+	LatencyMS        float64     `json:"latency_ms"`
+	Ejected          bool        `json:"ejected"`
+}
+
+// Explanation tells how an entry node would serve a query right now, from
+// /v1/explain of its operators' address.
+type Explanation struct {
+	Service string `json:"service"`
+	// Rule is the routing rule that applied, empty for none.
+	Rule          string             `json:"rule,omitempty"`
+	ServedBy      string             `json:"served_by"`
+	Snapshot      Snapshot           `json:"snapshot"`
+	NewestVersion uint64             `json:"newest_version"`
+	Why           string             `json:"why"`
+	Shards        []ShardExplanation `json:"shards"`
+}
+
+// ShardExplanation tells which replica a shard would be asked of.
+type ShardExplanation struct {
+	Shard      ShardID                `json:"shard"`
+	Chosen     TargetID               `json:"chosen,omitempty"`
+	Candidates []CandidateExplanation `json:"candidates"`
+}
+
+// CandidateExplanation holds the inputs of the choice for one replica.
+type CandidateExplanation struct {
+	Target TargetID `json:"target"`
+	Score  float64  `json:"score"`
+	// Excluded says why the replica can't be chosen, empty when it can.
+	Excluded  string  `json:"excluded,omitempty"`
+	InFlight  int     `json:"in_flight"`
+	Limit     int     `json:"limit"`
+	LatencyMS float64 `json:"latency_ms"`
+	Local     bool    `json:"local"`
+}
