--- /dev/null
+++ b/internal/control/tickets/image.go
@@ -0,0 +1,116 @@
+package tickets
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/clusterconfig"
+	"wigeonbay/internal/controlrpc"
+)
+
+// MarkImage is the mark of one object in an Image.
+type MarkImage struct {
+	Object   api.ObjectRef
+	Number   uint64
+	Operator string
+}
+
+// NumberImage is one remembered number in an Image.
+type NumberImage struct {
+	Number   uint64
+	Content  Content
+	Operator string
+	Version  uint64
+}
+
+// RefusalImage is one remembered refusal in an Image.
+type RefusalImage struct {
+	Content Content
+	Reply   api.TicketReply
+}
+
+// Image is the whole state for a snapshot, with its lists in a fixed order.
+type Image struct {
+	Version   uint64
+	Services  []api.Service
+	Searchers []api.Searcher
+	Rules     []api.Rule
+	Marks     []MarkImage
+	Numbers   []NumberImage
+	Floor     uint64
+	Refusals  []RefusalImage
+	History   []controlrpc.HistoryEntry
+}
+
+// Image returns the state.
+func (s *State) Image() Image {
+	image := Image{
+		Version:   s.config.Version,
+		Services:  values(s.config.Services),
+		Searchers: values(s.config.Searchers),
+		Rules:     values(s.config.Rules),
+		Floor:     s.floor,
+		History:   slices.Clone(s.history.entries),
+	}
+	for ref, m := range s.marks {
+		image.Marks = append(image.Marks, MarkImage{Object: ref, Number: m.number, Operator: m.operator})
+	}
+	slices.SortFunc(image.Marks, func(a, b MarkImage) int {
+		return cmp.Or(strings.Compare(string(a.Object.Kind), string(b.Object.Kind)), strings.Compare(a.Object.Name, b.Object.Name))
+	})
+	for _, number := range s.order {
+		known := s.numbers[number]
+		image.Numbers = append(image.Numbers, NumberImage{
+			Number:   number,
+			Content:  known.content,
+			Operator: known.operator,
+			Version:  known.version,
+		})
+	}
+	for _, key := range s.refusals.order {
+		image.Refusals = append(image.Refusals, RefusalImage{Content: key.content, Reply: s.refusals.replies[key]})
+	}
+	return image
+}
+
+// FromImage returns the state that an image was taken of.
+func FromImage(image Image) *State {
+	s := New()
+	s.config = clusterconfig.ApplyTicket(s.config, api.Ticket{
+		Services:  image.Services,
+		Searchers: image.Searchers,
+		Rules:     image.Rules,
+	})
+	s.config.Version = image.Version
+	s.floor = image.Floor
+	for _, m := range image.Marks {
+		s.marks[m.Object] = mark{number: m.Number, operator: m.Operator}
+	}
+	for _, n := range image.Numbers {
+		s.numbers[n.Number] = accepted{content: n.Content, operator: n.Operator, version: n.Version}
+		s.order = append(s.order, n.Number)
+	}
+	for _, r := range image.Refusals {
+		s.refusals.remember(r.Reply.Number, r.Content, r.Reply, s.limits)
+	}
+	for _, e := range image.History {
+		s.history.add(e)
+	}
+	return s
+}
+
+// values returns the objects of a map in the order of their names.
+func values[T any](objects map[string]T) []T {
+	names := make([]string, 0, len(objects))
+	for name := range objects {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	ordered := make([]T, 0, len(names))
+	for _, name := range names {
+		ordered = append(ordered, objects[name])
+	}
+	return ordered
+}
