--- a/internal/clusterconfig/clusterconfig_test.go
+++ b/internal/clusterconfig/clusterconfig_test.go
@@ -29,7 +29,7 @@
 	}))
 }
 
-// fault: delayed-replies ticket
+// fault: delayed-replies x ticket
 func TestApplyDelta(t *testing.T) {
 	cfg := base()
 	drain := ticket(2, func(t *api.Ticket) { t.Searchers = []api.Searcher{{Name: "s1", Service: "lots", Drain: true}} })
--- a/internal/control/ledger/ledger_test.go
+++ b/internal/control/ledger/ledger_test.go
@@ -33,8 +33,7 @@
 	return controlrpc.RecordArgs{Key: "k", KeyTimeUnixMS: start, Claim: id, State: state, Outcome: controlrpc.Outcome{Status: 200, Result: fmt.Sprint(id)}}
 }
 
-// fault: kill submit
-// fault: operators-racing submit
+// fault: kill x submit
 func TestClaims(t *testing.T) {
 	type step struct {
 		after  int64 // milliseconds after start
@@ -131,7 +130,7 @@
 	assert.Equal(t, l.Claim(start+1, later).Verdict, controlrpc.ClaimGranted)
 }
 
-// fault: two-at-once submit
+// fault: two-at-once x submit
 func TestAtMostOnceUnderRandomOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := New(testRetention)
--- a/internal/control/machine/machine_test.go
+++ b/internal/control/machine/machine_test.go
@@ -42,7 +42,7 @@
 	return all
 }
 
-// fault: restart-after-changes restart
+// fault: restart-after-changes x restart
 func TestSnapshotAndTailEqualReplay(t *testing.T) {
 	whole := New(time.Hour)
 	restored := New(time.Hour)
--- a/internal/control/tickets/tickets_test.go
+++ b/internal/control/tickets/tickets_test.go
@@ -26,7 +26,7 @@
 	return api.Ticket{Number: number, Operator: "ana", Searchers: []api.Searcher{{Name: name, Service: service}}}
 }
 
-// fault: operators-racing ticket
+// fault: operators-racing x ticket
 func TestApplyTicket(t *testing.T) {
 	type step struct {
 		ticket  api.Ticket
@@ -110,7 +110,7 @@
 	assert.Equal(t, s.Apply(0, setService(115, "bia", "c")).Outcome, api.TicketAccepted)
 }
 
-// fault: restart-after-changes ticket
+// fault: restart-after-changes x ticket
 func TestDeltaAfterHundredsOfChanges(t *testing.T) {
 	s := New()
 	s.limits.history = 300
