Ticket files: strict INI to a ticket, removals included

Cause: operators write tickets as INI files, and a forgotten key would become a zero (a least coverage of 0 accepts any answer). Ruled out: mapping the file straight onto the api types, which have no way to tell "not given" from 0. Measured: go test ./internal/ticketfile passes, 17 mistakes with their exact messages (go test -v, counted subtests).

--- a/internal/inifile/check.go
+++ b/internal/inifile/check.go
@@ -17,6 +17,7 @@
 	"required": checkRequired,
 	"hostport": checkAddress,
 	"positive": checkPositive,
+	"natural":  checkNatural,
 	"percent":  checkPercent,
 	"fraction": checkFraction,
 	"oneof":    checkOneOf,
@@ -85,13 +86,22 @@
 		if !ok {
 			panic(fmt.Sprintf("inifile: unknown rule %q on %s", name, m.name))
 		}
-		if err := check(m.value, argument); err != nil {
+		if err := check(target(m.value, name), argument); err != nil {
 			return &Error{File: path, Section: section, Key: m.name, Detail: err.Error()}
 		}
 	}
 	return nil
 }
 
+// target returns what a rule looks at: what a pointer points to, but the
+// pointer itself for the rule that it be given.
+func target(value reflect.Value, name string) reflect.Value {
+	if value.Kind() == reflect.Pointer && name != "required" {
+		return value.Elem()
+	}
+	return value
+}
+
 func checkRequired(value reflect.Value, _ string) error {
 	if value.IsZero() || (value.Kind() == reflect.Slice && value.Len() == 0) {
 		return errors.New("is missing")
@@ -137,7 +147,14 @@
 		positive = value.Float() > 0
 	}
 	if !positive {
-		return fmt.Errorf("must be above 0")
+		return errors.New("must be above 0")
+	}
+	return nil
+}
+
+func checkNatural(value reflect.Value, _ string) error {
+	if value.Int() < 0 {
+		return errors.New("must not be below 0")
 	}
 	return nil
 }
--- a/internal/inifile/file.go
+++ b/internal/inifile/file.go
@@ -44,7 +44,8 @@
 // A field of dst that is a structure is a section, named by the field's ini
 // tag. A slice of structures takes the sections "tag NAME", with NAME in the
 // structure's first field. Other fields are keys outside any section. A field
-// whose tag is "-" is left alone.
+// whose tag is "-" is left alone, and a pointer stays nil when its key is not
+// given.
 func Load(path string, dst any) error {
 	data, err := read(path)
 	if err != nil {
--- a/internal/inifile/value.go
+++ b/internal/inifile/value.go
@@ -45,6 +45,9 @@
 		return setUint(field, text)
 	case reflect.Float64:
 		return setFloat(field, text)
+	case reflect.Pointer:
+		field.Set(reflect.New(field.Type().Elem()))
+		return setField(field.Elem(), text)
 	case reflect.Slice:
 		field.Set(reflect.ValueOf(splitList(text)))
 		return nil
--- /dev/null
+++ b/internal/ticketfile/ticketfile_test.go
@@ -0,0 +1,81 @@
+package ticketfile
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+)
+
+const good = `[ticket]
+number = 7
+operator = ana
+[service salao]
+prefer = deadline
+least_coverage = 0.9
+deadline_ms = 250
+extra_load_percent = 2
+[searcher salao-1]
+service = salao
+drain = true
+[rule night]
+service = salao
+to = patio
+percent = 12.5
+[service old]
+removed = true
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ticket.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestLoadReadsEveryKindOfObject(t *testing.T) {
+	got, err := Load(write(t, good))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, &api.Ticket{
+		Number:    7,
+		Operator:  "ana",
+		Services:  []api.Service{{Name: "salao", Prefer: api.PreferDeadline, LeastCoverage: 0.9, DeadlineMS: 250, ExtraLoadPercent: 2}},
+		Searchers: []api.Searcher{{Name: "salao-1", Service: "salao", Drain: true}},
+		Rules:     []api.Rule{{Name: "night", Service: "salao", To: "patio", Percent: 12.5}},
+		Removals:  []api.ObjectRef{{Kind: api.KindService, Name: "old"}},
+	})
+}
+
+func TestLoadRefusesMistakes(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"no number", "number = 7\n", "", "[ticket] number: must be above 0"},
+		{"negative number", "= 7", "= -7", `[ticket] number: "-7" isn't a whole number from 0 in range`},
+		{"no operator", "operator = ana\n", "", "[ticket] operator: is missing"},
+		{"unknown key", "drain", "drained", "[searcher salao-1] drained: unknown key; known are removed, service, slots, connections, drain"},
+		{"unknown kind", "[rule", "[route", "[route night] unknown section; known are [ticket], [service NAME], [searcher NAME], [rule NAME]"},
+		{"object without a name", "[rule night]", "[rule]", "[rule] unknown section; known are [ticket], [service NAME], [searcher NAME], [rule NAME]"},
+		{"no deadline", "deadline_ms = 250\n", "", "[service salao] deadline_ms: must be above 0"},
+		{"no coverage", "least_coverage = 0.9\n", "", "[service salao] least_coverage: is missing"},
+		{"no percentage", "percent = 12.5\n", "", "[rule night] percent: is missing"},
+		{"coverage above 1", "0.9", "90", "[service salao] least_coverage: 90 isn't from 0 to 1"},
+		{"coverage not a number", "0.9", "NaN", `[service salao] least_coverage: "NaN" isn't a number`},
+		{"bad preference", "prefer = deadline", "prefer = speed", `[service salao] prefer: "speed" isn't one of deadline, coverage`},
+		{"negative slots", "drain = true", "slots = -1", "[searcher salao-1] slots: must not be below 0"},
+		{"rule without a destination", "to = patio\n", "", "[rule night] to: is missing"},
+		{"removed with a state", "removed = true", "removed = true\nprefer = coverage", "[service old] removed: an object that is removed can't have a state besides"},
+		{"one object twice", "[service old]\nremoved = true", "[service salao]\nremoved = true", "[service salao] the section is given twice"},
+		{"nothing touched", good[strings.Index(good, "[service salao]"):], "", "the ticket touches no object"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(good, tc.old))
+			path := write(t, strings.Replace(good, tc.old, tc.new, 1))
+			_, err := Load(path)
+			assert.Error(t, err, path+": "+tc.want)
+		})
+	}
+}
