--- /dev/null
+++ b/internal/searcher/search.go
@@ -0,0 +1,92 @@
+package searcher
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/catalogue"
+)
+
+func (s *Searcher) handleSearch(w http.ResponseWriter, r *http.Request) {
+	s.counters.searches.Add(1)
+	pause(r.Context(), s.cfg.NetworkDelay)
+	var request api.ShardRequest
+	if no := decode(w, r, &request); no != nil {
+		s.answerRefusal(w, r, no)
+		return
+	}
+	if no := s.enter(); no != nil {
+		s.answerRefusal(w, r, no)
+		return
+	}
+	defer s.exit()
+	reply, no := s.search(r, request)
+	if no != nil {
+		s.answerRefusal(w, r, no)
+		return
+	}
+	s.answer(w, r, http.StatusOK, reply)
+}
+
+// search runs one request on a slot. The slot is free again when it returns,
+// also when the request was cancelled.
+func (s *Searcher) search(r *http.Request, request api.ShardRequest) (*api.ShardReply, *refusal) {
+	ctx, cancel := withDeadline(r, s.cfg.NetworkDelay)
+	defer cancel()
+	holding, no := s.holding(request)
+	if no != nil {
+		return nil, no
+	}
+	if no := s.takeSlot(ctx); no != nil {
+		return nil, no
+	}
+	defer s.slots.release()
+	if !pause(ctx, s.times.draw(time.Now(), holding.Warm)) {
+		return nil, s.abandoned(ctx)
+	}
+	s.counters.ran.Add(1)
+	return s.find(request, holding), nil
+}
+
+// abandoned tells of a request that held a slot and did not finish.
+func (s *Searcher) abandoned(ctx context.Context) *refusal {
+	s.counters.cancelled.Add(1)
+	return refuse(http.StatusGatewayTimeout, api.TargetDeadline, false, fmt.Sprintf("the request was given up: %v", ctx.Err()))
+}
+
+func (s *Searcher) holding(request api.ShardRequest) (api.Holding, *refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := find(s.holdings, request.Snapshot)
+	if !ok || !holdsAll(h, request.Shards) {
+		s.counters.noSnapshot.Add(1)
+		detail := fmt.Sprintf("snapshot %s or one of the shards is not held", request.Snapshot)
+		return h, refuse(http.StatusConflict, api.TargetNoSnapshot, true, detail)
+	}
+	return h, nil
+}
+
+// find searches the shards of the request's own snapshot, whatever has been
+// added or removed since: a reply never mixes versions.
+func (s *Searcher) find(request api.ShardRequest, holding api.Holding) *api.ShardReply {
+	hits := []api.Hit{}
+	for _, shard := range request.Shards {
+		hits = append(hits, s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)...)
+	}
+	total := len(hits)
+	if request.Limit > 0 && total > request.Limit {
+		catalogue.Sort(hits)
+		hits = hits[:request.Limit]
+	}
+	return &api.ShardReply{
+		RequestID: request.RequestID,
+		Attempt:   request.Attempt,
+		Snapshot:  request.Snapshot,
+		Shards:    request.Shards,
+		Total:     total,
+		Hits:      hits,
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,11 +132,16 @@
 	Catalogue    string `ini:"catalogue" check:"oneof=lots|declarations"`
 	LayoutShards int    `ini:"layout_shards" check:"positive"`
 	// Shards lists the shards held, such as 0-3,7.
-	Shards      string        `ini:"shards" check:"required"`
-	Version     uint64        `ini:"version" check:"positive"`
-	Slots       int           `ini:"slots" check:"positive"`
-	Connections int           `ini:"connections" check:"positive"`
+	Shards      string `ini:"shards" check:"required"`
+	Version     uint64 `ini:"version" check:"positive"`
+	Slots       int    `ini:"slots" check:"positive"`
+	Connections int    `ini:"connections" check:"positive"`
+	// Queue is the number of requests that may wait for a slot; 0 stands for
+	// the number of slots and a negative number for none.
+	Queue       int           `ini:"queue"`
 	AcceptDelay time.Duration `ini:"accept_delay"`
+	// NetworkDelay is the one-way delay between the searcher and entry nodes.
+	NetworkDelay time.Duration `ini:"network_delay"`
 	// ServiceTime is the median time that one request takes.
 	ServiceTime time.Duration `ini:"service_time"`
 	ColdStart   time.Duration `ini:"cold_start"`
