wigeon-load run: open-loop load with every answer checked

Cause: a demo and the experiments need load whose figures hide nothing. Ruled out: counting a refusal of 'not ready' or a refused dial as a failure: that is the balancer's work, which the client stands in for. A key that ran although its caller was told 'not run' counts as ran twice, since the caller will ask again.

--- /dev/null
+++ b/cmd/wigeon-load/run.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"wigeonbay/internal/load"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Flags of run.
+const (
+	flagEntries    = "entries"
+	flagTargets    = "targets"
+	flagServices   = "service"
+	flagRate       = "rate"
+	flagSubmitRate = "submit-rate"
+	flagDuration   = "duration"
+	flagDeadline   = "deadline"
+	flagWait       = "wait"
+	flagSeed       = "seed"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "send searches and submits to running entry nodes",
+		Description: "Ends with one JSON line; the exit code is 1 when an answer mixed snapshots,\n" +
+			"a submit ran twice, or a search or submit was lost.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: flagEntries, Usage: "callers' `ADDRESSES` of entry nodes, separated by commas", Required: true},
+			&cli.StringSliceFlag{Name: flagTargets, Usage: "`ADDRESSES` of stand-in targets, to ask how often each submit ran"},
+			&cli.StringSliceFlag{Name: flagServices, Usage: "`NAME=CATALOGUE` of a service, such as salao-1=lots", Required: true},
+			&cli.FloatFlag{Name: flagRate, Usage: "searches a second on each service", Value: 20},
+			&cli.FloatFlag{Name: flagSubmitRate, Usage: "submits a second on each service", Value: 0},
+			&cli.DurationFlag{Name: flagDuration, Usage: "length of the run", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: flagDeadline, Usage: "deadline of each request", Value: time.Second},
+			&cli.DurationFlag{Name: flagWait, Usage: "time for each service to give a first whole answer", Value: 20 * time.Second},
+			&cli.Uint64Flag{Name: flagSeed, Usage: "seed of arrivals and queries", Value: 1},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	session, err := newSession(c)
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
+	report, err := session.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteTable(c.Root().Writer); err != nil {
+		return err
+	}
+	summary := report.Summary()
+	if err := json.NewEncoder(c.Root().Writer).Encode(summary); err != nil {
+		return err
+	}
+	if !summary.Promised() {
+		return errors.New("an answer mixed snapshots, or a request ran twice or was lost")
+	}
+	return nil
+}
+
+func newSession(c *cli.Command) (*load.Session, error) {
+	session := &load.Session{
+		Entries:    c.StringSlice(flagEntries),
+		Targets:    c.StringSlice(flagTargets),
+		Rate:       c.Float(flagRate),
+		SubmitRate: c.Float(flagSubmitRate),
+		Length:     c.Duration(flagDuration),
+		Deadline:   c.Duration(flagDeadline),
+		Wait:       c.Duration(flagWait),
+		Seed:       c.Uint64(flagSeed),
+	}
+	for _, text := range c.StringSlice(flagServices) {
+		service, err := load.ParseService(text)
+		if err != nil {
+			return nil, err
+		}
+		session.Services = append(session.Services, service)
+	}
+	return session, nil
+}
--- /dev/null
+++ b/internal/load/check.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/catalogue"
+)
+
+// Verdict is what a check found of an answer.
+type Verdict string
+
+// Verdicts on an answer, from good to bad.
+const (
+	// Whole is right and covers every shard.
+	Whole Verdict = "whole"
+	// Partial is right in what it covers, and says what it doesn't.
+	Partial Verdict = "partial"
+	// Mixed has hits of more than one snapshot, or of another than it states.
+	Mixed Verdict = "mixed snapshot"
+	// Foreign isn't the answer to the caller's own request.
+	Foreign Verdict = "not the caller's own"
+	// Untrue states a coverage that its hits don't bear out.
+	Untrue Verdict = "coverage untrue"
+)
+
+// Check compares an answer with what the catalogue says that it must be. The
+// text explains verdicts other than Whole and Partial.
+func Check(c *catalogue.Catalogue, id string, request api.SearchRequest, answer *api.SearchAnswer) (Verdict, string) {
+	if answer.RequestID != id {
+		return Foreign, fmt.Sprintf("request %s got the answer of request %s", id, answer.RequestID)
+	}
+	if detail := checkHits(request.Query, answer); detail != "" {
+		return Foreign, detail
+	}
+	if detail := checkVersions(answer); detail != "" {
+		return Mixed, detail
+	}
+	if detail := checkCoverage(answer.Coverage); detail != "" {
+		return Untrue, detail
+	}
+	if detail := checkContent(c, request, answer); detail != "" {
+		return Untrue, detail
+	}
+	if answer.Coverage.Whole() {
+		return Whole, ""
+	}
+	return Partial, ""
+}
+
+// checkHits finds a hit that the query doesn't match.
+func checkHits(query string, answer *api.SearchAnswer) string {
+	for _, hit := range answer.Hits {
+		if !catalogue.HasWords(hit.Text, query) {
+			return fmt.Sprintf("hit %s does not match %q", hit.ID, query)
+		}
+	}
+	return ""
+}
+
+// checkVersions finds a hit of another version or layout than the answer's.
+func checkVersions(answer *api.SearchAnswer) string {
+	mark := fmt.Sprintf(" index-v%d", answer.Snapshot.Version)
+	for _, hit := range answer.Hits {
+		if !strings.HasSuffix(hit.Text, mark) {
+			return fmt.Sprintf("hit %q in an answer of snapshot %s", hit.Text, answer.Snapshot)
+		}
+		if hit.Shard != catalogue.ShardOf(hit.ID, max(1, answer.Coverage.Shards)) {
+			return fmt.Sprintf("hit %s of shard %d is of another layout than the answer's %d shards", hit.ID, hit.Shard, answer.Coverage.Shards)
+		}
+	}
+	return ""
+}
+
+// checkCoverage finds a contradiction within a stated coverage.
+func checkCoverage(c api.Coverage) string {
+	missing := make(map[api.ShardID]bool, len(c.Missing))
+	for _, m := range c.Missing {
+		missing[m.Shard] = true
+	}
+	if c.Shards < 1 || c.Answered+len(missing) != c.Shards || len(missing) != len(c.Missing) {
+		return fmt.Sprintf("%d answered and %d missing of %d shards", c.Answered, len(c.Missing), c.Shards)
+	}
+	want := float64(c.Answered) / float64(c.Shards)
+	if diff := c.Fraction - want; diff > 1e-9 || diff < -1e-9 {
+		return fmt.Sprintf("fraction %g of %d in %d shards", c.Fraction, c.Answered, c.Shards)
+	}
+	return ""
+}
+
+// checkContent compares the hits with those of the covered shards.
+func checkContent(c *catalogue.Catalogue, request api.SearchRequest, answer *api.SearchAnswer) string {
+	want := catalogue.Expected(c, answer.Coverage.Shards, answer.Snapshot.Version, request.Query)
+	want = slices.DeleteFunc(want, func(hit api.Hit) bool { return isMissing(answer.Coverage, hit.Shard) })
+	if answer.TotalHits != len(want) {
+		return fmt.Sprintf("%d hits in total where the covered shards have %d", answer.TotalHits, len(want))
+	}
+	if request.Limit > 0 && len(want) > request.Limit {
+		want = want[:request.Limit]
+	}
+	got := slices.Clone(answer.Hits)
+	catalogue.Sort(got)
+	if !slices.Equal(got, want) {
+		return fmt.Sprintf("%d hits that are not the %d of the covered shards", len(got), len(want))
+	}
+	return ""
+}
+
+func isMissing(c api.Coverage, shard api.ShardID) bool {
+	return slices.ContainsFunc(c.Missing, func(m api.MissingShard) bool { return m.Shard == shard })
+}
