--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,11 @@
 	Insecure bool `ini:"insecure"`
 }
 
+// Enabled reports whether any certificate is named.
+func (t TLS) Enabled() bool {
+	return t.Certificate != "" || t.Key != "" || t.Authority != ""
+}
+
 // Peer is another process of the system, from a [peer NAME] section.
 type Peer struct {
 	ID         string `ini:"-"`
@@ -50,9 +55,9 @@
 	Telemetry Telemetry   `ini:"telemetry"`
 	Limits    EntryLimits `ini:"limits"`
 	// Controls are the control processes, from [control NAME] sections.
-	Controls []Peer `ini:"control" check:"peers"`
+	Controls []Peer `ini:"control"`
 	// Peers are other entry nodes to begin with, from [peer NAME] sections.
-	Peers []Peer `ini:"peer" check:"peers"`
+	Peers []Peer `ini:"peer"`
 }
 
 // EntryLimits bounds what an entry node takes in.
@@ -108,7 +113,7 @@
 	Join bool `ini:"join"`
 	// Members are the group's first voters, from [member NAME] sections, this
 	// process included.
-	Members []Peer `ini:"member" check:"peers"`
+	Members []Peer `ini:"member"`
 }
 
 // Searcher holds the settings of wigeon-searcher, the stand-in target. One
@@ -132,11 +137,16 @@
 	Catalogue    string `ini:"catalogue" check:"oneof=lots|declarations"`
 	LayoutShards int    `ini:"layout_shards" check:"positive"`
 	// Shards lists the shards held, such as 0-3,7.
-	Shards      string        `ini:"shards" check:"required"`
-	Version     uint64        `ini:"version" check:"positive"`
-	Slots       int           `ini:"slots" check:"positive"`
-	Connections int           `ini:"connections" check:"positive"`
+	Shards      string `ini:"shards" check:"required"`
+	Version     uint64 `ini:"version" check:"positive"`
+	Slots       int    `ini:"slots" check:"positive"`
+	Connections int    `ini:"connections" check:"positive"`
+	// Queue is the number of requests that may wait for a slot; 0 stands for
+	// the number of slots and a negative number for none.
+	Queue       int           `ini:"queue"`
 	AcceptDelay time.Duration `ini:"accept_delay"`
+	// NetworkDelay is the one-way delay between the searcher and entry nodes.
+	NetworkDelay time.Duration `ini:"network_delay"`
 	// ServiceTime is the median time that one request takes.
 	ServiceTime time.Duration `ini:"service_time"`
 	ColdStart   time.Duration `ini:"cold_start"`
