Entry node: reducer, routing, limits, connection pool, HTTP and wigeon-entry

Cause: searches and submits had no path from callers to targets. Ruled out: one http.Transport per target (a request can't be tied to one connection, so a silent connection can't be told from a slow target, and net/http may repeat a request on its own, which at-most-once forbids); a request per shard (groups of shards with the same replicas share one). Change: internal/entry (reducer, effects as data), entry/route, entry/limit, entry/gather, entry/latency, entry/pool, entry/driver, cmd/wigeon-entry. A reply counts the hits of each shard, so that overlapping replies can be cut to the shards that count; the searcher and its test follow (as strict as before). Before: no entry node.

--- /dev/null
+++ b/cmd/wigeon-entry/main.go
@@ -0,0 +1,59 @@
+// Command wigeon-entry runs one entry node: it takes callers' requests and
+// targets' announcements on an entry VM.
+package main
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/cli"
+	"wigeonbay/internal/entry/driver"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
+)
+
+const (
+	process = "wigeon-entry"
+	// stopTimeout bounds a graceful shutdown.
+	stopTimeout = time.Minute
+)
+
+func main() {
+	daemon := cli.Daemon[*settings.Entry]{
+		Name:  process,
+		Usage: "serve callers and targets on an entry VM",
+		Load:  settings.LoadEntry,
+		Run:   run,
+	}
+	cli.Main(daemon.Command())
+}
+
+// run serves until ctx ends, then shuts down without cutting off a request.
+func run(ctx context.Context, config *settings.Entry) error {
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(config),
+		fx.Provide(newLogger, driver.New),
+		fx.Invoke(register),
+	)
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return app.Stop(stopping)
+}
+
+func newLogger(config *settings.Entry) (*zap.Logger, error) {
+	return telemetry.NewLogger(process, config.Node.ID)
+}
+
+func register(lifecycle fx.Lifecycle, node *driver.Node) {
+	lifecycle.Append(fx.Hook{OnStart: node.Start, OnStop: node.Stop})
+}
--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -130,8 +130,9 @@
 	Attempt   uint64    `json:"attempt"`
 	Snapshot  Snapshot  `json:"snapshot"`
 	Shards    []ShardID `json:"shards"`
-	Total     int       `json:"total"`
-	Hits      []Hit     `json:"hits"`
+	// Totals counts the hits of each of Shards before the limit was applied.
+	Totals []int `json:"totals"`
+	Hits   []Hit `json:"hits"`
 }
 
 // TargetSubmit carries a non-idempotent request to a target's /v1/submit.
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/route"
+)
+
+const (
+	// retryBackoff is the wait before a search asks replicas again that have
+	// all shed its request.
+	retryBackoff = 5 * time.Millisecond
+	// maxRounds bounds how often a search asks all replicas of a shard.
+	maxRounds = 3
+	// maxRestarts bounds how often a search starts again on a newer snapshot.
+	maxRestarts = 2
+)
+
+// sending is a request being put together: the groups that go to one target.
+type sending struct {
+	target *route.Target
+	groups []int
+}
+
+// dispatch sends requests for every group that has none and finds a replica
+// with room. What finds none waits in the service's queue.
+func (s *State) dispatch(q *search) {
+	if s.now.Before(q.notBefore) {
+		return
+	}
+	requests, trials, stuck := s.plan(q)
+	for _, r := range requests {
+		s.send(q, r, false)
+	}
+	for _, r := range trials {
+		s.sendTrial(q, r)
+	}
+	s.decideStuck(q, stuck)
+	if !q.done && q.waits() {
+		s.enqueue(q)
+	}
+}
+
+// plan chooses a replica for each idle group. Groups that share a target share
+// a request. It also returns the groups for which no replica can be chosen now
+// or later.
+func (s *State) plan(q *search) (requests, trials []sending, stuck []int) {
+	q.service.roundRobin++
+	for g := range q.groups {
+		if q.groups[g].phase != groupIdle {
+			continue
+		}
+		group := &q.placement.Groups[g]
+		choice := s.choice(q, g)
+		i := route.Choose(group, choice)
+		if i < 0 {
+			if !canWait(group, choice) {
+				stuck = append(stuck, g)
+			}
+			continue
+		}
+		requests = addTo(requests, q, group.Replicas[i], g)
+		q.groups[g].tried = q.groups[g].tried.With(i)
+		if s.baseline() {
+			continue
+		}
+		if t := route.DueTrial(group, s.choice(q, g)); t >= 0 && q.service.extra.Spend() {
+			group.Replicas[t].TrialSent(s.now)
+			q.groups[g].tried = q.groups[g].tried.With(t)
+			trials = append(trials, sending{group.Replicas[t], []int{g}})
+		}
+	}
+	return requests, trials, stuck
+}
+
+func (s *State) choice(q *search, g int) route.Choice {
+	return route.Choice{
+		Now:        s.now,
+		Snapshot:   q.placement.Snapshot,
+		Search:     uint64(q.id),
+		Tried:      q.groups[g].tried,
+		Policy:     s.options.Policy,
+		RoundRobin: q.service.roundRobin,
+	}
+}
+
+func addTo(requests []sending, q *search, t *route.Target, g int) []sending {
+	if i, ok := t.PickedPosition(uint64(q.id)); ok && i < len(requests) && requests[i].target == t {
+		requests[i].groups = append(requests[i].groups, g)
+		return requests
+	}
+	t.Picked(uint64(q.id), len(requests))
+	return append(requests, sending{t, []int{g}})
+}
+
+// canWait reports whether some replica is only full, so that the group can be
+// asked later.
+func canWait(group *route.Group, c route.Choice) bool {
+	for i, t := range group.Replicas {
+		if c.Exclude(i, t) == route.ExcludedFull {
+			return true
+		}
+	}
+	return false
+}
+
+// send sends one request. Extra requests are hedges, retries and trials.
+func (s *State) send(q *search, r sending, extra bool) *attempt {
+	s.lastAttempt++
+	a := &attempt{
+		id:       s.lastAttempt,
+		target:   r.target,
+		service:  q.service,
+		search:   q,
+		snapshot: q.placement.Snapshot,
+		groups:   r.groups,
+		started:  s.now,
+	}
+	s.attempts[a.id] = a
+	q.outstanding = append(q.outstanding, a)
+	r.target.Sent(uint64(a.id), s.now)
+	s.countRequest(q.service, extra)
+	var shards []api.ShardID
+	for _, g := range r.groups {
+		state := &q.groups[g]
+		state.phase = groupSent
+		state.out++
+		shards = append(shards, q.placement.Groups[g].Shards...)
+	}
+	q.hedgeAt = s.now.Add(s.hedgeDelay(q))
+	s.emit(SendShards{
+		Attempt:  a.id,
+		Query:    q.id,
+		Target:   r.target.ID(),
+		Service:  q.service.config.Name,
+		Snapshot: a.snapshot,
+		Shards:   shards,
+		Deadline: q.deadline.Add(-answerMargin),
+		Extra:    extra,
+	})
+	return a
+}
+
+func (s *State) sendTrial(q *search, r sending) {
+	s.counters.Trials++
+	s.send(q, r, true).trial = true
+}
+
+func (s *State) countRequest(svc *service, extra bool) {
+	s.counters.TargetRequests++
+	if extra {
+		s.counters.ExtraRequests++
+		return
+	}
+	svc.extra.Earn(1)
+}
+
+// decideStuck deals with groups that no replica can serve: the search starts
+// again on another snapshot, asks once more after a pause, or goes without.
+func (s *State) decideStuck(q *search, stuck []int) {
+	for _, g := range stuck {
+		if q.done || q.groups[g].phase != groupIdle {
+			continue
+		}
+		switch {
+		case s.lostSnapshot(q, g):
+			if s.restart(q) {
+				return
+			}
+			s.miss(q, g, api.MissingNoSnapshot)
+		case s.mayAskAgain(q, g):
+			s.askAgain(q, g)
+		default:
+			s.miss(q, g, s.missingReason(q, g))
+		}
+	}
+}
+
+// lostSnapshot reports whether no replica of the group holds the search's
+// snapshot any more.
+func (s *State) lostSnapshot(q *search, g int) bool {
+	for _, t := range q.placement.Groups[g].Replicas {
+		if t.AcceptsWork() && t.Holds(q.placement.Snapshot) {
+			return false
+		}
+	}
+	return true
+}
+
+// restart begins the search anew on the snapshot that is now the best one.
+// Replies of the old one are dropped: merging them would mix two snapshots.
+func (s *State) restart(q *search) bool {
+	next := q.service.indexOf().Pin()
+	typical, _ := q.service.durations.Quantile(s.now, 0.5)
+	timeLeft := q.deadline.Sub(s.now) - answerMargin
+	if next == nil || next.Snapshot == q.placement.Snapshot || q.restarts >= maxRestarts || timeLeft < typical {
+		return false
+	}
+	s.counters.Restarts++
+	q.restarts++
+	s.abandonAttempts(q)
+	for _, part := range q.accepted {
+		s.emit(DiscardReply{Attempt: part.Attempt})
+	}
+	s.pin(q)
+	s.dispatch(q)
+	return true
+}
+
+// mayAskAgain reports whether the group's replicas may be asked once more:
+// when they shed the request, or when coverage is preferred and the extra-load
+// budget allows.
+func (s *State) mayAskAgain(q *search, g int) bool {
+	if q.rounds >= maxRounds || q.deadline.Sub(s.now) < answerMargin+retryBackoff {
+		return false
+	}
+	if q.groups[g].shed {
+		return true
+	}
+	return q.service.config.Prefer == api.PreferCoverage && s.hasReplica(q, g) && q.service.extra.Spend()
+}
+
+func (s *State) hasReplica(q *search, g int) bool {
+	for _, t := range q.placement.Groups[g].Replicas {
+		if t.AcceptsWork() && t.Holds(q.placement.Snapshot) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) askAgain(q *search, g int) {
+	if !s.now.Before(q.notBefore) {
+		q.rounds++
+		backoff := retryBackoff << q.rounds
+		q.notBefore = s.now.Add(spread(backoff, q.seed))
+	}
+	q.groups[g].tried = 0
+	q.groups[g].shed = false
+}
+
+func (s *State) missingReason(q *search, g int) api.MissingReason {
+	if q.groups[g].reason != "" {
+		return q.groups[g].reason
+	}
+	return api.MissingNoReplica
+}
+
+// waits reports whether some group still has to be sent.
+func (q *search) waits() bool {
+	for _, g := range q.groups {
+		if g.phase == groupIdle {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/driver/attempts.go
@@ -0,0 +1,189 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry"
+	"wigeonbay/internal/entry/pool"
+)
+
+var tracer = otel.Tracer("wigeonbay/entry")
+
+// sendShards runs a shard request in a goroutine of its own.
+func (n *Node) sendShards(e entry.SendShards) {
+	w := n.waiters[e.Query]
+	if w == nil {
+		go n.step(entry.AttemptFailed{Attempt: e.Attempt, Kind: entry.FailureCancelled, NotRun: true})
+		return
+	}
+	body := api.ShardRequest{
+		RequestID: w.id,
+		Attempt:   uint64(e.Attempt),
+		Service:   e.Service,
+		Snapshot:  e.Snapshot,
+		Shards:    e.Shards,
+		Query:     w.search.Query,
+		Limit:     w.search.Limit,
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(w.ctx), e.Deadline)
+	n.cancels[e.Attempt] = cancel
+	go func() {
+		defer cancel()
+		ctx, span := tracer.Start(ctx, "entry.shard_request", trace.WithSpanKind(trace.SpanKindClient),
+			trace.WithAttributes(
+				attribute.String("target", string(e.Target)),
+				attribute.String("snapshot", e.Snapshot.String()),
+				attribute.Int("shards", len(e.Shards)),
+				attribute.Bool("extra", e.Extra)))
+		defer span.End()
+		reply, err := n.post(ctx, e.Target, "/v1/search", body, e.Deadline, false)
+		n.finishShards(e.Attempt, body, reply, err)
+	}()
+}
+
+// finishShards turns the end of a shard request into an event.
+func (n *Node) finishShards(id entry.AttemptID, sent api.ShardRequest, reply pool.Reply, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cancels, id)
+	if err != nil {
+		n.stepLocked(failure(id, err))
+		return
+	}
+	header := headerOf(reply.Header)
+	if reply.Status != http.StatusOK {
+		n.stepLocked(refusal(id, reply, header))
+		return
+	}
+	var body api.ShardReply
+	if json.Unmarshal(reply.Body, &body) != nil || !matches(body, sent) {
+		n.stepLocked(entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header})
+		return
+	}
+	n.replies[id] = &body
+	n.stepLocked(entry.ShardsReplied{Attempt: id, Snapshot: body.Snapshot, Header: header})
+}
+
+// matches reports whether a reply belongs to the request that was sent. One
+// that doesn't is the answer to somebody else's request.
+func matches(reply api.ShardReply, sent api.ShardRequest) bool {
+	if reply.RequestID != sent.RequestID || reply.Attempt != sent.Attempt {
+		return false
+	}
+	if len(reply.Shards) != len(sent.Shards) || len(reply.Totals) != len(reply.Shards) {
+		return false
+	}
+	for i, shard := range reply.Shards {
+		if shard != sent.Shards[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// sendSubmit runs a non-idempotent request in a goroutine of its own. It goes
+// out once: the pool never repeats a request.
+func (n *Node) sendSubmit(e entry.SendSubmit) {
+	w := n.waiters[e.Query]
+	if w == nil {
+		go n.step(entry.AttemptFailed{Attempt: e.Attempt, Kind: entry.FailureCancelled, NotRun: true})
+		return
+	}
+	body := api.TargetSubmit{RequestID: w.id, Key: e.Key, Claim: e.Claim, Service: e.Service, Request: w.submit}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(w.ctx), e.GiveUp)
+	go func() {
+		defer cancel()
+		ctx, span := tracer.Start(ctx, "entry.submit_request", trace.WithSpanKind(trace.SpanKindClient),
+			trace.WithAttributes(attribute.String("target", string(e.Target))))
+		defer span.End()
+		reply, err := n.post(ctx, e.Target, "/v1/submit", body, e.Deadline, true)
+		n.step(submitResult(e.Attempt, reply, err))
+	}()
+}
+
+func submitResult(id entry.AttemptID, reply pool.Reply, err error) entry.Event {
+	if err != nil {
+		return failure(id, err)
+	}
+	header := headerOf(reply.Header)
+	if reply.Status >= http.StatusInternalServerError || reply.Status == http.StatusConflict {
+		return refusal(id, reply, header)
+	}
+	var body api.TargetSubmitReply
+	if json.Unmarshal(reply.Body, &body) != nil {
+		return entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header}
+	}
+	return entry.SubmitReplied{Attempt: id, Status: reply.Status, Result: body.Result, Header: header}
+}
+
+// post sends a JSON body to a target with the deadline and the trace context.
+func (n *Node) post(ctx context.Context, target api.TargetID, path string, body any, deadline time.Time, proven bool) (pool.Reply, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return pool.Reply{}, &pool.Error{NotSent: true, Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://target"+path, bytes.NewReader(encoded))
+	if err != nil {
+		return pool.Reply{}, &pool.Error{NotSent: true, Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	left := max(0, time.Until(deadline).Milliseconds())
+	req.Header.Set(api.HeaderDeadline, strconv.FormatInt(left, 10))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return n.pool.Do(ctx, target, req, proven)
+}
+
+func failure(id entry.AttemptID, err error) entry.AttemptFailed {
+	ev := entry.AttemptFailed{Attempt: id, Kind: entry.FailureBroken}
+	var lost *pool.Error
+	if errors.As(err, &lost) {
+		ev.NotRun = lost.NotSent
+		ev.Reused = lost.Reused
+		if lost.Connect {
+			ev.Kind = entry.FailureConnect
+		}
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		ev.Kind = entry.FailureTimeout
+	case errors.Is(err, context.Canceled):
+		ev.Kind = entry.FailureCancelled
+	}
+	return ev
+}
+
+func refusal(id entry.AttemptID, reply pool.Reply, header entry.TargetHeader) entry.AttemptFailed {
+	var body api.TargetError
+	if json.Unmarshal(reply.Body, &body) != nil || body.Code == "" {
+		return entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header}
+	}
+	return entry.AttemptFailed{
+		Attempt: id,
+		Kind:    entry.FailureRefused,
+		Code:    body.Code,
+		NotRun:  body.NotRun,
+		Header:  header,
+	}
+}
+
+func headerOf(h http.Header) entry.TargetHeader {
+	incarnation, _ := strconv.ParseUint(h.Get(api.HeaderTargetIncarnation), 10, 64)
+	inFlight, _ := strconv.Atoi(h.Get(api.HeaderInFlight))
+	return entry.TargetHeader{
+		State:       api.TargetState(h.Get(api.HeaderTargetState)),
+		Incarnation: incarnation,
+		InFlight:    inFlight,
+	}
+}
--- /dev/null
+++ b/internal/entry/driver/node.go
@@ -0,0 +1,218 @@
+// Package driver runs an entry node: it turns requests, replies, timers and
+// peers' news into events for the reducer in package entry, and carries out
+// the effects.
+package driver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry"
+	"wigeonbay/internal/entry/pool"
+	"wigeonbay/internal/entry/route"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
+)
+
+// Constants of the driver.
+const (
+	// tickInterval is the time between two Tick events.
+	tickInterval = 100 * time.Millisecond
+	// shutdownTimeout bounds the wait for requests in progress at shutdown.
+	shutdownTimeout = 45 * time.Second
+	// readHeaderTimeout bounds how long a caller may take to send a request's
+	// header.
+	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+)
+
+// Node is one entry node.
+type Node struct {
+	settings *settings.Entry
+	logger   *zap.Logger
+	pool     *pool.Pool
+	client   *wire.Client
+	ledger   *ledgerClient
+	peers    *peers
+
+	mu      sync.Mutex
+	state   *entry.State
+	timers  map[entry.QueryID]*time.Timer
+	waiters map[entry.QueryID]*waiter
+	replies map[entry.AttemptID]*api.ShardReply
+	cancels map[entry.AttemptID]context.CancelFunc
+
+	lastQuery  atomic.Uint64
+	draining   atomic.Bool
+	installed  atomic.Bool
+	background sync.WaitGroup
+	stop       context.CancelFunc
+	ctx        context.Context
+
+	callers   *http.Server
+	operators *http.Server
+	rpc       *wire.Server
+	address   string
+}
+
+// New returns a node that does nothing until Start.
+func New(config *settings.Entry, logger *zap.Logger) (*Node, error) {
+	policy := route.Policy(config.Limits.Policy)
+	if policy == "" {
+		policy = route.PolicyShipped
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{
+		settings: config,
+		logger:   logger,
+		client:   wire.NewClient(nil),
+		state:    entry.New(entry.Options{DataCentre: config.Node.DataCentre, Policy: policy}),
+		timers:   map[entry.QueryID]*time.Timer{},
+		waiters:  map[entry.QueryID]*waiter{},
+		replies:  map[entry.AttemptID]*api.ShardReply{},
+		cancels:  map[entry.AttemptID]context.CancelFunc{},
+		ctx:      ctx,
+		stop:     stop,
+	}
+	n.ledger = newLedgerClient(config, n.client)
+	n.peers = newPeers(n)
+	return n, nil
+}
+
+// Start opens the listeners and joins the other entry nodes.
+func (n *Node) Start(ctx context.Context) error {
+	n.pool = pool.New(nil)
+	if err := n.listen(ctx); err != nil {
+		return err
+	}
+	n.peers.start()
+	n.background.Add(1)
+	go n.tick()
+	telemetry.EntryStarted.Log(n.logger, zap.String("callers", n.address))
+	return nil
+}
+
+// Stop shuts the node down without cutting off a request: it first tells the
+// balancer that it isn't ready and goes on serving, then stops accepting,
+// waits for the requests in progress and leaves its peers.
+func (n *Node) Stop(ctx context.Context) error {
+	n.draining.Store(true)
+	sleep(ctx, n.settings.Limits.DrainTime)
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	n.ledger.drain(ctx)
+	n.peers.stop(ctx)
+	n.stop()
+	_ = n.operators.Close()
+	n.rpc.Close()
+	n.client.Close()
+	n.pool.Close()
+	n.background.Wait()
+	telemetry.EntryStopped.Log(n.logger)
+	return err
+}
+
+// InstallConfig brings a configuration into force at a node that follows no
+// control processes.
+func (n *Node) InstallConfig(config api.Configuration) {
+	n.step(entry.ConfigInstalled{Config: config})
+	n.installed.Store(true)
+}
+
+// CallersAddress returns the address of the callers' listener.
+func (n *Node) CallersAddress() string {
+	return n.address
+}
+
+// Counters returns the counts of the node's decisions.
+func (n *Node) Counters() entry.Counters {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Counters()
+}
+
+// ready reports whether the balancer may send requests.
+func (n *Node) ready() bool {
+	return !n.draining.Load() && n.installed.Load() && n.peers.ready()
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	callers, err := listenOn(ctx, n.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	operators, err := listenOn(ctx, n.settings.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	rpc, err := listenOn(ctx, n.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	n.address = callers.Addr().String()
+	n.rpc = wire.NewServer()
+	if err := n.peers.register(n.rpc); err != nil {
+		return err
+	}
+	n.rpc.Serve(rpc)
+	n.callers = n.serve(callers, n.callersHandler())
+	n.operators = n.serve(operators, n.operatorsHandler())
+	return nil
+}
+
+func listenOn(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		_ = server.Serve(listener)
+	}()
+	return server
+}
+
+func (n *Node) tick() {
+	defer n.background.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			n.step(entry.Tick{})
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/limit/admission.go
@@ -0,0 +1,59 @@
+package limit
+
+import "time"
+
+// Constants of admission.
+const (
+	// maxWaiting bounds the searches of one service that wait for a slot.
+	maxWaiting = 4096
+	// intervalWeight is the weight of the newest completion in the moving
+	// average of the time between completions.
+	intervalWeight = 0.05
+	// minRetryAfter is the shortest time that a refused caller is told.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// Admission decides whether a search that would have to wait can still finish
+// in time. It estimates the wait from how fast the service completes searches
+// while others wait.
+type Admission struct {
+	interval time.Duration
+	last     time.Time
+}
+
+// Completed notes that a search of the service gave its slots back.
+func (a *Admission) Completed(now time.Time, waiting int) {
+	gap := now.Sub(a.last)
+	a.last = now
+	if waiting == 0 || gap < 0 {
+		return
+	}
+	if a.interval == 0 {
+		a.interval = gap
+		return
+	}
+	a.interval += time.Duration(intervalWeight * float64(gap-a.interval))
+}
+
+// Wait estimates how long a search waits behind waiting others.
+func (a *Admission) Wait(waiting int) time.Duration {
+	return time.Duration(waiting) * a.interval
+}
+
+// Admit reports whether a search with timeLeft may wait behind waiting others
+// when its own execution takes about execution.
+func (a *Admission) Admit(waiting int, timeLeft, execution time.Duration) bool {
+	if execution > timeLeft {
+		return waiting == 0
+	}
+	return waiting < maxWaiting && a.Wait(waiting+1)+execution <= timeLeft
+}
+
+// RetryAfter tells a refused caller when to come back: when the present queue
+// has drained, spread by seed over as much again so that the refused callers
+// don't return together.
+func (a *Admission) RetryAfter(waiting int, seed uint64) time.Duration {
+	base := max(minRetryAfter, a.Wait(waiting))
+	spread := time.Duration(seed % uint64(base))
+	return base + spread
+}
--- /dev/null
+++ b/internal/entry/pool/target.go
@@ -0,0 +1,203 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+// errRetired is returned to requests that wait for a connection to a target
+// that was forgotten.
+var errRetired = errors.New("the target is gone")
+
+// target holds the connections to one target.
+type target struct {
+	dial Dial
+
+	mu      sync.Mutex
+	host    string
+	most    int
+	opened  int
+	idle    []*conn
+	retired bool
+	// freed is closed and replaced whenever a connection or a place for one
+	// becomes free.
+	freed chan struct{}
+}
+
+func newTarget(host string, dial Dial) *target {
+	return &target{dial: dial, host: host, freed: make(chan struct{})}
+}
+
+// configure sets the budget; connections above it are closed as they become
+// idle.
+func (t *target) configure(host string, most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.host = host
+	t.most = most
+	for len(t.idle) > 0 && t.opened > t.most {
+		t.closeLocked(t.idle[0])
+		t.idle = t.idle[1:]
+	}
+	t.signalLocked()
+}
+
+// open opens connections ahead of need until expected are there.
+func (t *target) open(expected int) {
+	for {
+		t.mu.Lock()
+		full := t.retired || t.opened >= expected || t.opened >= t.most
+		if !full {
+			t.opened++
+		}
+		t.mu.Unlock()
+		if full {
+			return
+		}
+		c, err := t.connect(context.Background())
+		if err != nil {
+			return
+		}
+		t.release(c, true)
+	}
+}
+
+// acquire returns an idle connection, or a new one within the budget, or waits
+// until ctx ends.
+func (t *target) acquire(ctx context.Context) (*conn, error) {
+	for {
+		t.mu.Lock()
+		if t.retired {
+			t.mu.Unlock()
+			return nil, errRetired
+		}
+		if n := len(t.idle); n > 0 {
+			c := t.idle[n-1]
+			t.idle = t.idle[:n-1]
+			t.mu.Unlock()
+			return c, nil
+		}
+		if t.opened < t.most {
+			t.opened++
+			t.mu.Unlock()
+			return t.connect(ctx)
+		}
+		freed := t.freed
+		t.mu.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// connect opens a connection for which a place was taken.
+func (t *target) connect(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	t.mu.Lock()
+	host := t.host
+	t.mu.Unlock()
+	raw, err := t.dial(ctx, host)
+	if err != nil {
+		t.mu.Lock()
+		t.opened--
+		t.signalLocked()
+		t.mu.Unlock()
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+// release gives a connection back, or closes one that is no longer good.
+func (t *target) release(c *conn, good bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !good || t.retired || t.opened > t.most {
+		t.closeLocked(c)
+	} else {
+		t.idle = append(t.idle, c)
+	}
+	t.signalLocked()
+}
+
+// retire closes the idle connections and refuses further use.
+func (t *target) retire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retired = true
+	for _, c := range t.idle {
+		t.closeLocked(c)
+	}
+	t.idle = nil
+	t.signalLocked()
+}
+
+// check pings the connections that have been idle for at least age, and
+// replaces the silent ones.
+func (t *target) check(age time.Duration) {
+	t.mu.Lock()
+	var due, rest []*conn
+	for _, c := range t.idle {
+		if time.Since(c.lastUsed) >= age {
+			due = append(due, c)
+		} else {
+			rest = append(rest, c)
+		}
+	}
+	t.idle = rest
+	t.mu.Unlock()
+	for _, c := range due {
+		go t.checkOne(c)
+	}
+}
+
+func (t *target) checkOne(c *conn) {
+	if t.ping(c) == nil {
+		t.release(c, true)
+		return
+	}
+	t.mu.Lock()
+	t.closeLocked(c)
+	wanted := t.opened + 1
+	t.mu.Unlock()
+	t.open(wanted)
+}
+
+// ping asks the target's health endpoint over one connection, as proof that
+// the connection carries replies; what the reply says is not used.
+func (t *target) ping(c *conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://target/health", nil)
+	if err != nil {
+		return err
+	}
+	_, _, err = c.roundTrip(t.address(ctx, req))
+	return err
+}
+
+// address fills in the target's address.
+func (t *target) address(ctx context.Context, req *http.Request) *http.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := req.Clone(ctx)
+	out.URL = &url.URL{Scheme: "http", Host: t.host, Path: req.URL.Path}
+	out.Host = t.host
+	return out
+}
+
+func (t *target) closeLocked(c *conn) {
+	t.opened--
+	c.close()
+}
+
+func (t *target) signalLocked() {
+	close(t.freed)
+	t.freed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/entry/route/choose.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// Constants of the choice among replicas.
+const (
+	// joinFactor scales the score of a target that the same search asks
+	// anyway: one request for more shards is cheaper than two requests.
+	joinFactor = 0.5
+	// remotePenalty is added to the expected latency of a target outside the
+	// node's data centre, so that local replicas are preferred.
+	remotePenalty = 50 * time.Millisecond
+	// warmingFactor scales the score of a target after a cold start.
+	warmingFactor = 4.0
+	// freshLatency is the expected latency of a target without evidence.
+	freshLatency = time.Millisecond
+)
+
+// Exclusion says why a replica can't be chosen.
+type Exclusion string
+
+// Exclusions, in the order in which they are checked.
+const (
+	ExcludedNone     Exclusion = ""
+	ExcludedState    Exclusion = "does not accept work"
+	ExcludedTried    Exclusion = "already tried by this search"
+	ExcludedSnapshot Exclusion = "does not hold the snapshot"
+	ExcludedFull     Exclusion = "at its concurrency limit"
+	ExcludedSuspect  Exclusion = "unreachable"
+	ExcludedEjected  Exclusion = "set aside as an outlier"
+)
+
+// Policy names a way to choose among replicas.
+type Policy string
+
+// Policies. PolicyBaseline is the plain comparison: round robin without
+// evidence, hedges or adaptive limits.
+const (
+	PolicyShipped  Policy = "shipped"
+	PolicyBaseline Policy = "baseline"
+)
+
+// Tried is the set of a group's replicas that a search has asked, by position.
+type Tried uint64
+
+// Has reports whether the replica at position i was asked.
+func (t Tried) Has(i int) bool {
+	return t&(1<<uint(i%64)) != 0
+}
+
+// With returns t with the replica at position i added.
+func (t Tried) With(i int) Tried {
+	return t | 1<<uint(i%64)
+}
+
+// Choice asks for a replica of one group.
+type Choice struct {
+	Now      time.Time
+	Snapshot api.Snapshot
+	// Search identifies the search, to break ties and to recognise targets
+	// that it asks already.
+	Search uint64
+	Tried  Tried
+	Policy Policy
+	// RoundRobin is the position from which the baseline goes on.
+	RoundRobin int
+}
+
+// Choose returns the position of the best replica in g, or -1 when none can
+// take a request now. Suspect and ejected replicas are the last resort.
+func Choose(g *Group, c Choice) int {
+	if c.Policy == PolicyBaseline {
+		return chooseNext(g, c)
+	}
+	best, bestScore, bestRank := -1, 0.0, 0
+	for i, t := range g.Replicas {
+		rank, ok := c.rank(i, t)
+		if !ok {
+			continue
+		}
+		score := c.Score(t)
+		if best < 0 || rank < bestRank || rank == bestRank && score < bestScore {
+			best, bestScore, bestRank = i, score, rank
+		}
+	}
+	return best
+}
+
+// Exclude returns why the replica at position i can't be chosen, or why it is
+// only the last resort.
+func (c Choice) Exclude(i int, t *Target) Exclusion {
+	switch {
+	case !t.AcceptsWork():
+		return ExcludedState
+	case c.Tried.Has(i):
+		return ExcludedTried
+	case !t.Holds(c.Snapshot):
+		return ExcludedSnapshot
+	case !t.HasRoom():
+		return ExcludedFull
+	case t.suspect:
+		return ExcludedSuspect
+	case t.ejected:
+		return ExcludedEjected
+	default:
+		return ExcludedNone
+	}
+}
+
+// Score is the time that a new request to t is expected to take, in
+// milliseconds: the observed latency, or the age of the oldest unanswered
+// request when that is greater, scaled by how full the node's share of the
+// target is. Lower is better.
+func (c Choice) Score(t *Target) float64 {
+	expected := max(t.latency, t.Age(c.Now))
+	if expected == 0 {
+		expected = freshLatency
+	}
+	if !t.Local {
+		expected += remotePenalty
+	}
+	fill := float64(t.InFlight) / float64(max(1, t.Limit.Requests()))
+	score := float64(expected) / float64(time.Millisecond) * (1 + fill)
+	if t.Announced.State == api.TargetWarming {
+		score *= warmingFactor
+	}
+	if t.pickedBy == c.Search {
+		score *= joinFactor
+	}
+	return score
+}
+
+func (c Choice) rank(i int, t *Target) (int, bool) {
+	switch c.Exclude(i, t) {
+	case ExcludedNone:
+		return 0, true
+	case ExcludedEjected:
+		return 1, true
+	case ExcludedSuspect:
+		return 2, true
+	default:
+		return 0, false
+	}
+}
+
+func chooseNext(g *Group, c Choice) int {
+	for n := range g.Replicas {
+		i := (c.RoundRobin + n) % len(g.Replicas)
+		t := g.Replicas[i]
+		if t.AcceptsWork() && !c.Tried.Has(i) && t.Holds(c.Snapshot) && t.HasRoom() {
+			return i
+		}
+	}
+	return -1
+}
+
+// Picked notes that search sends t a request with the given position among the
+// search's new requests.
+func (t *Target) Picked(search uint64, position int) {
+	t.pickedBy = search
+	t.pickedIndex = position
+}
+
+// PickedPosition returns the position noted by Picked, and false when search
+// has not picked t.
+func (t *Target) PickedPosition(search uint64) (int, bool) {
+	return t.pickedIndex, t.pickedBy == search
+}
--- /dev/null
+++ b/internal/entry/route/index.go
@@ -0,0 +1,192 @@
+package route
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"wigeonbay/internal/api"
+)
+
+// Group is a set of shards that the same replicas hold: they are always asked
+// together.
+type Group struct {
+	Shards   []api.ShardID
+	Replicas []*Target
+}
+
+// Placement says which replicas hold which shards of one snapshot.
+type Placement struct {
+	Snapshot api.Snapshot
+	// Shards is the number of shards in the snapshot's layout.
+	Shards int
+	Groups []Group
+	// Uncovered are the shards that no target holds that accepts work.
+	Uncovered []api.ShardID
+	// reachable is the number of shards with a replica that isn't suspect.
+	reachable int
+	// warm is the number of shards with a reachable replica that is warm.
+	warm int
+}
+
+// Whole reports whether each shard has a reachable replica.
+func (p *Placement) Whole() bool {
+	return p.reachable == p.Shards
+}
+
+// Warm reports whether each shard has a reachable replica that has the
+// snapshot loaded.
+func (p *Placement) Warm() bool {
+	return p.warm == p.Shards
+}
+
+// Index holds the placements of one service's snapshots.
+type Index struct {
+	placements []*Placement
+	// Newest is the newest index version that any target has announced.
+	Newest uint64
+}
+
+// BuildIndex computes the placements of a service from its targets. Targets
+// must be in a fixed order, so that equal inputs give equal placements.
+func BuildIndex(targets []*Target) *Index {
+	index := &Index{}
+	builders := map[api.Snapshot]*placementBuilder{}
+	var order []api.Snapshot
+	for _, t := range targets {
+		for _, h := range t.Announced.Holdings {
+			index.Newest = max(index.Newest, h.Snapshot.Version)
+			if !t.AcceptsWork() || !t.Holds(h.Snapshot) {
+				continue
+			}
+			b := builders[h.Snapshot]
+			if b == nil {
+				b = newPlacementBuilder(h)
+				builders[h.Snapshot] = b
+				order = append(order, h.Snapshot)
+			}
+			b.add(t, h)
+		}
+	}
+	for _, s := range order {
+		index.placements = append(index.placements, builders[s].build())
+	}
+	slices.SortFunc(index.placements, newestFirst)
+	return index
+}
+
+// Pin returns the placement for a new search: the newest snapshot that is
+// whole and warm, else the newest whole one, else the one with the greatest
+// coverage and the newer of equals; nil when no target accepts work.
+func (x *Index) Pin() *Placement {
+	for _, p := range x.placements {
+		if p.Warm() {
+			return p
+		}
+	}
+	for _, p := range x.placements {
+		if p.Whole() {
+			return p
+		}
+	}
+	var best *Placement
+	for _, p := range x.placements {
+		if best == nil || p.fraction() > best.fraction() {
+			best = p
+		}
+	}
+	return best
+}
+
+// Find returns the placement of snapshot s, or nil.
+func (x *Index) Find(s api.Snapshot) *Placement {
+	for _, p := range x.placements {
+		if p.Snapshot == s {
+			return p
+		}
+	}
+	return nil
+}
+
+func (p *Placement) fraction() float64 {
+	return float64(p.reachable) / float64(p.Shards)
+}
+
+func newestFirst(a, b *Placement) int {
+	switch {
+	case a.Snapshot.Newer(b.Snapshot):
+		return -1
+	case b.Snapshot.Newer(a.Snapshot):
+		return 1
+	default:
+		return 0
+	}
+}
+
+type placementBuilder struct {
+	snapshot  api.Snapshot
+	replicas  [][]*Target
+	reachable []bool
+	warm      []bool
+}
+
+func newPlacementBuilder(h api.Holding) *placementBuilder {
+	return &placementBuilder{
+		snapshot:  h.Snapshot,
+		replicas:  make([][]*Target, h.LayoutShards),
+		reachable: make([]bool, h.LayoutShards),
+		warm:      make([]bool, h.LayoutShards),
+	}
+}
+
+func (b *placementBuilder) add(t *Target, h api.Holding) {
+	for _, shard := range h.Shards {
+		if int(shard) >= len(b.replicas) {
+			continue
+		}
+		b.replicas[shard] = append(b.replicas[shard], t)
+		if t.Reachable() {
+			b.reachable[shard] = true
+			b.warm[shard] = b.warm[shard] || h.Warm
+		}
+	}
+}
+
+func (b *placementBuilder) build() *Placement {
+	p := &Placement{Snapshot: b.snapshot, Shards: len(b.replicas)}
+	groups := map[string]int{}
+	for i, replicas := range b.replicas {
+		shard := api.ShardID(i)
+		if len(replicas) == 0 {
+			p.Uncovered = append(p.Uncovered, shard)
+			continue
+		}
+		p.count(b.reachable[i], b.warm[i])
+		key := replicaKey(replicas)
+		g, ok := groups[key]
+		if !ok {
+			g = len(p.Groups)
+			groups[key] = g
+			p.Groups = append(p.Groups, Group{Replicas: replicas})
+		}
+		p.Groups[g].Shards = append(p.Groups[g].Shards, shard)
+	}
+	return p
+}
+
+func (p *Placement) count(reachable, warm bool) {
+	if reachable {
+		p.reachable++
+	}
+	if warm {
+		p.warm++
+	}
+}
+
+func replicaKey(replicas []*Target) string {
+	var key strings.Builder
+	for _, t := range replicas {
+		key.WriteString(strconv.Quote(string(t.ID())))
+	}
+	return key.String()
+}
--- /dev/null
+++ b/internal/entry/route/outlier.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Constants of outlier ejection.
+const (
+	// outlierFactor times the median latency of its peers makes a target an
+	// outlier.
+	outlierFactor = 3.0
+	// returnFactor is the same for an ejected target's return.
+	returnFactor = 2.0
+	// outlierFloor keeps targets that are all fast from ejecting each other.
+	outlierFloor = 2 * time.Millisecond
+	// maxEjectedFraction bounds the share of a service's targets set aside.
+	maxEjectedFraction = 0.34
+	// trialInterval is the time between two trials of an ejected or suspect
+	// target.
+	trialInterval = time.Second
+	// trialsToReturn is the number of good trials in a row after which an
+	// ejected target takes work again.
+	trialsToReturn = 3
+)
+
+// Eject sets aside targets whose latency is far above the median of their
+// peers. It reports whether anything changed.
+func Eject(targets []*Target, now time.Time) bool {
+	median := medianLatency(targets)
+	if median == 0 {
+		return false
+	}
+	threshold := max(outlierFloor, time.Duration(outlierFactor*float64(median)))
+	ejected := countEjected(targets)
+	most := int(maxEjectedFraction*float64(len(targets)) + 0.5)
+	changed := false
+	for _, t := range targets {
+		if ejected >= most {
+			return changed
+		}
+		if t.ejected || max(t.latency, t.Age(now)) <= threshold {
+			continue
+		}
+		t.ejected = true
+		t.goodTrials = 0
+		t.nextTrial = now.Add(trialInterval)
+		ejected++
+		changed = true
+	}
+	return changed
+}
+
+// DueTrial returns an ejected or suspect target that is due for a trial, or
+// nil. A trial is a copy of a request that a sound replica gets as well, so
+// that no caller waits for it.
+func DueTrial(g *Group, c Choice) int {
+	for i, t := range g.Replicas {
+		if !t.ejected && !t.suspect || c.Now.Before(t.nextTrial) {
+			continue
+		}
+		if t.AcceptsWork() && t.Holds(c.Snapshot) && t.HasRoom() && !c.Tried.Has(i) {
+			return i
+		}
+	}
+	return -1
+}
+
+// TrialSent notes that t was sent a trial.
+func (t *Target) TrialSent(now time.Time) {
+	t.nextTrial = now.Add(trialInterval)
+}
+
+// TrialDone judges a finished trial against the latency of t's peers and
+// reports whether t takes work again.
+func (t *Target) TrialDone(peers []*Target, took time.Duration) bool {
+	if !t.ejected {
+		return false
+	}
+	limit := max(outlierFloor, time.Duration(returnFactor*float64(medianLatency(peers))))
+	if took > limit {
+		t.goodTrials = 0
+		return false
+	}
+	t.goodTrials++
+	if t.goodTrials < trialsToReturn {
+		return false
+	}
+	t.ejected = false
+	t.latency = took
+	return true
+}
+
+func medianLatency(targets []*Target) time.Duration {
+	known := make([]time.Duration, 0, len(targets))
+	for _, t := range targets {
+		if t.latency > 0 && t.AcceptsWork() {
+			known = append(known, t.latency)
+		}
+	}
+	if len(known) < 2 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+func countEjected(targets []*Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.ejected {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -73,11 +73,13 @@
 // added or removed since: a reply never mixes versions.
 func (s *Searcher) find(request api.ShardRequest, holding api.Holding) *api.ShardReply {
 	hits := []api.Hit{}
+	totals := make([]int, 0, len(request.Shards))
 	for _, shard := range request.Shards {
-		hits = append(hits, s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)...)
+		found := s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)
+		hits = append(hits, found...)
+		totals = append(totals, len(found))
 	}
-	total := len(hits)
-	if request.Limit > 0 && total > request.Limit {
+	if request.Limit > 0 && len(hits) > request.Limit {
 		catalogue.Sort(hits)
 		hits = hits[:request.Limit]
 	}
@@ -86,7 +88,7 @@
 		Attempt:   request.Attempt,
 		Snapshot:  request.Snapshot,
 		Shards:    request.Shards,
-		Total:     total,
+		Totals:    totals,
 		Hits:      hits,
 	}
 }
