--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/route"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	first  = api.Snapshot{Layout: 1, Version: 1}
+	second = api.Snapshot{Layout: 1, Version: 2}
+)
+
+// harness feeds events to a reducer and keeps its effects.
+type harness struct {
+	t     *testing.T
+	state *State
+	now   time.Time
+	last  QueryID
+}
+
+func newHarness(t *testing.T, service api.Service) *harness {
+	h := &harness{t: t, now: start, state: New(Options{DataCentre: "oeste", Policy: route.PolicyShipped})}
+	service.Name = "lots"
+	if service.Prefer == "" {
+		service.Prefer = api.PreferDeadline
+	}
+	h.do(ConfigInstalled{Config: api.Configuration{
+		Version:  1,
+		Services: map[string]api.Service{"lots": service},
+	}})
+	return h
+}
+
+func (h *harness) do(ev Event) []Effect {
+	return append([]Effect(nil), h.state.Reduce(h.now, ev)...)
+}
+
+func (h *harness) pass(d time.Duration) {
+	h.now = h.now.Add(d)
+}
+
+// announce adds a target of two shards that holds the given snapshots.
+func (h *harness) announce(name string, state api.TargetState, snapshots ...api.Snapshot) {
+	h.announceShards(name, state, []api.ShardID{0, 1}, snapshots...)
+}
+
+func (h *harness) announceShards(name string, state api.TargetState, shards []api.ShardID, snapshots ...api.Snapshot) {
+	a := api.Announcement{
+		Target: api.TargetID(name), Incarnation: 1, Sequence: uint64(h.now.UnixNano()),
+		Service: "lots", DataCentre: "oeste", Address: "127.0.0.1:1", State: state,
+		Slots: 3, Connections: 30, LeaseMS: 1000,
+	}
+	for _, s := range snapshots {
+		a.Holdings = append(a.Holdings, api.Holding{Snapshot: s, LayoutShards: 2, Shards: shards, Warm: true})
+	}
+	h.do(TargetChanged{Announcement: a})
+}
+
+func (h *harness) search() (QueryID, []Effect) {
+	h.last++
+	return h.last, h.do(SearchArrived{Query: h.last, Service: "lots", Deadline: h.now.Add(time.Second), Seed: 7})
+}
+
+func (h *harness) submit() (QueryID, []Effect) {
+	h.last++
+	return h.last, h.do(SubmitArrived{
+		Query: h.last, Service: "lots", Key: "1-a", KeyTimeMS: 1, Claim: 42, Deadline: h.now.Add(time.Second),
+	})
+}
+
+func (h *harness) reply(e SendShards) []Effect {
+	return h.do(ShardsReplied{Attempt: e.Attempt, Snapshot: e.Snapshot, Header: ready})
+}
+
+var ready = TargetHeader{State: api.TargetReady, Incarnation: 1}
+
+// only returns the one effect of type E.
+func only[E Effect](t *testing.T, effects []Effect) E {
+	t.Helper()
+	found := all[E](effects)
+	assert.Equal(t, len(found), 1, "effects: %+v", effects)
+	return found[0]
+}
+
+func all[E Effect](effects []Effect) []E {
+	var found []E
+	for _, e := range effects {
+		if e, ok := e.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
