--- /dev/null
+++ b/internal/membership/driver/receiver.go
@@ -0,0 +1,23 @@
+package driver
+
+import (
+	"time"
+
+	"wigeonbay/internal/membership"
+)
+
+// receiver offers the net/rpc methods of the membership.
+type receiver struct {
+	service *Service
+}
+
+// Deliver takes one message from a peer.
+func (r *receiver) Deliver(frame *Frame, _ *FrameReply) error {
+	m, err := membership.DecodeMessage(frame.Body)
+	if err != nil {
+		return err
+	}
+	r.service.counters.countReceived(m.Kind, len(frame.Body))
+	r.service.step(membership.Received{At: time.Now(), Message: m}, nil)
+	return nil
+}
--- /dev/null
+++ b/internal/membership/message.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"wigeonbay/internal/api"
+)
+
+// MessageKind says what a message is for.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	// KindPing asks the receiver to answer with KindAck.
+	KindPing MessageKind = iota + 1
+	// KindAck answers a ping; Sequence repeats the ping's.
+	KindAck
+	// KindPingFor asks the receiver to ping the member Subject and to pass its
+	// answer on.
+	KindPingFor
+	// KindPush carries records that are news to the sender; the receiver
+	// answers with KindPushAck.
+	KindPush
+	// KindPushAck acknowledges a push; Known marks the records that the
+	// receiver had already.
+	KindPushAck
+	// KindDigest carries hashes of parts of the sender's records.
+	KindDigest
+	// KindKeys lists the records in some small parts.
+	KindKeys
+	// KindWant asks for the records named by Wanted.
+	KindWant
+	// KindRecords carries records that were asked for or that the sender has
+	// newer; it is not acknowledged.
+	KindRecords
+	// KindRenew tells an owner that the target Subject renewed.
+	KindRenew
+	// KindLeaseCheck asks whether the receiver knows of a renewal of the target
+	// Subject; one that does answers with KindRenew.
+	KindLeaseCheck
+	kindEnd
+)
+
+// Kinds lists every kind of message.
+func Kinds() []MessageKind {
+	kinds := make([]MessageKind, 0, kindEnd-1)
+	for k := KindPing; k < kindEnd; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// String returns the kind's name for counters and logs.
+func (k MessageKind) String() string {
+	names := [...]string{"none", "ping", "ack", "ping_for", "push", "push_ack",
+		"digest", "keys", "want", "records", "renew", "lease_check"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return "unknown"
+}
+
+// Message is what nodes send each other. Each kind uses some of the fields.
+type Message struct {
+	Kind MessageKind
+	// From and To are the members' ids. A process that took over another's
+	// address must not answer for it.
+	From string
+	To   string
+	// Sequence pairs an answer with its request.
+	Sequence uint64
+	// Subject is the member or target that the message is about.
+	Subject string
+	// Members and Targets are records.
+	Members []Member       `msgpack:",omitempty"`
+	Targets []TargetRecord `msgpack:",omitempty"`
+	// Known has a bit for each record of a push that was known, members first.
+	Known uint64
+	// Buckets are parts of the digest tree.
+	Buckets []Bucket `msgpack:",omitempty"`
+	// Keys name records with their versions.
+	Keys []Key `msgpack:",omitempty"`
+	// Wanted are the hashes of the names of records.
+	Wanted []uint64 `msgpack:",omitempty"`
+	// Incarnation and Version name the state of the target Subject.
+	Incarnation uint64
+	Version     uint64
+	// AgeMS is the age of a renewal in milliseconds.
+	AgeMS int64
+}
+
+// Bucket is the hash of all records in one part of the digest tree.
+type Bucket struct {
+	Depth uint8
+	Index uint16
+	Hash  uint64
+}
+
+// Key names a record by the hash of its name and the hash of its version.
+type Key struct {
+	Name    uint64
+	Version uint64
+}
+
+// Encode returns the message as bytes. Structures are encoded as arrays, which
+// halves their size; so fields may only be added at the end.
+func (m Message) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(&m); err != nil {
+		return nil, fmt.Errorf("encode %s message: %w", m.Kind, err)
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeMessage returns the message in body.
+func DecodeMessage(body []byte) (Message, error) {
+	var m Message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return Message{}, fmt.Errorf("decode membership message: %w", err)
+	}
+	if m.Kind < KindPing || m.Kind >= kindEnd {
+		return Message{}, fmt.Errorf("membership message has unknown kind %d", m.Kind)
+	}
+	return m, nil
+}
+
+// isRenewalOf reports whether the message speaks of the state that r holds.
+func (m Message) isRenewalOf(a api.Announcement) bool {
+	return m.Incarnation == a.Incarnation && m.Version == a.Sequence
+}
