wigeonctl: apply, get, history, status, explain, drain and replace

Cause: operators had no way to send a ticket or to see the system's state. Ruled out: sending a ticket once and leaving the retry to the operator: a lost reply is common, and the ticket's number makes a resend safe. Change: internal/ctl and cmd/wigeonctl.

--- /dev/null
+++ b/cmd/wigeonctl/main.go
@@ -0,0 +1,11 @@
+// Command wigeonctl changes and inspects a wigeonbay system.
+package main
+
+import (
+	"wigeonbay/internal/cli"
+	"wigeonbay/internal/ctl"
+)
+
+func main() {
+	cli.Main(ctl.NewCommand())
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,286 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/cli"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
+)
+
+// fakeControl is a control process that holds what was last applied.
+type fakeControl struct {
+	mu       sync.Mutex
+	tickets  []api.Ticket
+	reply    api.TicketReply
+	replaces int
+}
+
+// Apply records the ticket and gives the reply set.
+func (f *fakeControl) Apply(args *controlrpc.ApplyArgs, reply *controlrpc.ApplyReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tickets = append(f.tickets, args.Ticket)
+	reply.Reply = f.reply
+	return nil
+}
+
+// Fetch returns the tickets as a delta.
+func (f *fakeControl) Fetch(_ *controlrpc.FetchArgs, reply *controlrpc.FetchReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Delta = api.ConfigDelta{To: uint64(len(f.tickets)), Tickets: f.tickets}
+	return nil
+}
+
+// History returns the tickets.
+func (f *fakeControl) History(_ *controlrpc.HistoryArgs, reply *controlrpc.HistoryReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, ticket := range f.tickets {
+		reply.Entries = append(reply.Entries, controlrpc.HistoryEntry{Ticket: ticket, Version: uint64(i + 1), AcceptedUnixMS: 1000})
+	}
+	return nil
+}
+
+// Status returns a leader's view.
+func (f *fakeControl) Status(_ *controlrpc.StatusArgs, reply *controlrpc.StatusReply) error {
+	*reply = controlrpc.StatusReply{ID: "c1", State: "leader", Term: 2, Leader: "c1", Members: []controlrpc.Member{{ID: "c1", Role: controlrpc.RoleVoter}}}
+	return nil
+}
+
+// Replace is repaired at the third look.
+func (f *fakeControl) Replace(_ *controlrpc.ReplaceArgs, reply *controlrpc.ReplaceReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replaces++
+	reply.Stage = "catching_up"
+	if f.replaces == 3 {
+		reply.Stage, reply.Repaired = "repaired", true
+	}
+	return nil
+}
+
+// bench is a fake system and the flags that name it.
+type bench struct {
+	control *fakeControl
+	flags   []string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{control: &fakeControl{reply: api.TicketReply{Number: 7, Outcome: api.TicketAccepted, Version: 3}}}
+	server := wire.NewServer()
+	assert.NilError(t, server.Register("Control", b.control))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server.Serve(listener)
+	t.Cleanup(server.Close)
+	b.flags = []string{"wigeonctl", "--timeout", "5s", "--control", listener.Addr().String()}
+	return b
+}
+
+// addEntry starts a fake entry node whose version rises by one with each look,
+// up to last.
+func (b *bench) addEntry(t *testing.T, last uint64) {
+	t.Helper()
+	var mu sync.Mutex
+	version := uint64(0)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		version = min(version+1, last)
+		_ = json.NewEncoder(w).Encode(api.EntryStatus{ID: "e1", Ready: true, ConfigVersion: version})
+	})
+	mux.HandleFunc("GET /v1/explain", func(w http.ResponseWriter, r *http.Request) {
+		if r.FormValue("service") != "salao" {
+			w.WriteHeader(http.StatusNotFound)
+			_ = json.NewEncoder(w).Encode(api.NewProblem(http.StatusNotFound, api.CodeUnknownService, api.RanNo, "no such service"))
+			return
+		}
+		_ = json.NewEncoder(w).Encode(api.Explanation{Service: "salao", ServedBy: "salao", Why: "whole for " + r.FormValue("caller"),
+			Shards: []api.ShardExplanation{{Chosen: "s1", Candidates: []api.CandidateExplanation{{Target: "s1", Local: true}, {Target: "s2", Excluded: "draining"}}}}})
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	b.flags = append(b.flags, "--entry", strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (b *bench) run(args ...string) (code int, out, errs string) {
+	var outBuffer, errBuffer bytes.Buffer
+	command := NewCommand()
+	command.Writer, command.ErrWriter = &outBuffer, &errBuffer
+	code = cli.Run(context.Background(), command, append(b.flags[:len(b.flags):len(b.flags)], args...))
+	return code, outBuffer.String(), errBuffer.String()
+}
+
+func ticketPath(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "t.ini")
+	text := "[ticket]\nnumber = 7\noperator = ana\n[searcher s1]\nservice = salao\nslots = 3\n"
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// closedAddress returns an address on which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestApplyWaitEndsWhenReachableNodesAreCurrent(t *testing.T) {
+	b := newBench(t)
+	b.addEntry(t, 3)
+	gone := closedAddress(t)
+	b.flags = append(b.flags, "--entry", gone)
+	code, out, errs := b.run("apply", "-f", ticketPath(t), "--wait")
+	assert.Equal(t, code, cli.ExitDone, errs)
+	assert.Check(t, strings.HasPrefix(out, "ticket 7 accepted, configuration version 3\nin force at 1 entry nodes: "), out)
+	assert.Check(t, strings.HasSuffix(out, "not reached: "+gone+"\n"), out)
+}
+
+func TestApplyWaitNamesNodesThatStayBehind(t *testing.T) {
+	b := newBench(t)
+	b.addEntry(t, 2)
+	code, out, errs := b.run("--output", "json", "--timeout", "500ms", "apply", "-f", ticketPath(t), "--wait")
+	assert.Equal(t, code, cli.ExitFailed)
+	var result applied
+	assert.NilError(t, json.Unmarshal([]byte(out), &result))
+	assert.Equal(t, len(result.Force.Behind), 1)
+	assert.Check(t, strings.HasPrefix(errs, "wigeonctl: ticket 7 is accepted, but not yet in force at "), errs)
+}
+
+func TestApplyNamesTheWinnerOfARefusedTicket(t *testing.T) {
+	b := newBench(t)
+	b.control.reply = api.TicketReply{Number: 7, Outcome: api.TicketConflict, Winner: "rui", WinnerNumber: 7}
+	code, _, errs := b.run("apply", "-f", ticketPath(t))
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Equal(t, errs, "wigeonctl: ticket 7 refused: conflict; ticket 7 by rui stands\n")
+}
+
+func TestApplyInDoubtExits3(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	b := &bench{flags: []string{"wigeonctl", "--timeout", "200ms", "--control", listener.Addr().String()}}
+	code, _, errs := b.run("apply", "-f", ticketPath(t))
+	assert.Equal(t, code, cli.ExitInDoubt)
+	assert.Check(t, strings.HasPrefix(errs, "wigeonctl: ticket 7 is in doubt, apply it again under the same number: "), errs)
+}
+
+func TestGetShowsTheConfigurationAsATicketFile(t *testing.T) {
+	b := newBench(t)
+	b.control.tickets = []api.Ticket{
+		{Searchers: []api.Searcher{{Name: "s1", Service: "salao"}, {Name: "s2", Service: "salao"}}},
+		{Removals: []api.ObjectRef{{Kind: api.KindSearcher, Name: "s2"}}},
+	}
+	code, out, errs := b.run("get", "searcher")
+	assert.Equal(t, code, cli.ExitDone, errs)
+	assert.Equal(t, out, "# configuration version 2\n[searcher s1]\nservice = salao\nslots = 0\nconnections = 0\ndrain = false\n\n")
+	code, _, errs = b.run("get", "searcher", "s2")
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Equal(t, errs, "wigeonctl: there is no searcher \"s2\"\n")
+	code, _, _ = b.run("get", "target")
+	assert.Equal(t, code, cli.ExitUsage)
+}
+
+func TestDrainKeepsTheRestOfTheSearchersState(t *testing.T) {
+	b := newBench(t)
+	b.control.tickets = []api.Ticket{{Searchers: []api.Searcher{{Name: "s1", Service: "salao", Slots: 2}}}}
+	code, _, errs := b.run("drain", "s1", "--number", "9", "--operator", "ana")
+	assert.Equal(t, code, cli.ExitDone, errs)
+	assert.DeepEqual(t, b.control.tickets[1], api.Ticket{Number: 9, Operator: "ana",
+		Searchers: []api.Searcher{{Name: "s1", Service: "salao", Slots: 2, Drain: true}}})
+	code, _, errs = b.run("drain", "s9", "--number", "10", "--operator", "ana")
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Equal(t, errs, "wigeonctl: no ticket has set searcher \"s9\"; name its service with --service\n")
+}
+
+func TestReplaceWaitsUntilRepaired(t *testing.T) {
+	b := newBench(t)
+	args := []string{"replace", "c1", "c4", "--address", "127.0.0.1:9", "--data-centre", "oeste"}
+	code, out, errs := b.run(append(args, "--wait")...)
+	assert.Equal(t, code, cli.ExitDone, errs)
+	assert.Equal(t, out, "repaired: holds 0 of 0\n")
+	assert.Equal(t, b.control.replaces, 3)
+}
+
+func TestExplainShowsCandidatesAndRefusals(t *testing.T) {
+	b := newBench(t)
+	b.addEntry(t, 1)
+	code, out, errs := b.run("explain", "salao", "--caller", "bia", "imbuia")
+	assert.Equal(t, code, cli.ExitDone, errs)
+	assert.Check(t, strings.Contains(out, "whole for bia\nshard 0: s1\n"), out)
+	assert.Check(t, strings.Contains(out, "excluded: draining"), out)
+	code, _, errs = b.run("explain", "nope")
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Check(t, strings.HasSuffix(errs, "unknown_service: no such service\n"), errs)
+}
+
+// TestEveryCommandWritesJSON runs each command that shows something.
+func TestEveryCommandWritesJSON(t *testing.T) {
+	cases := [][]string{
+		{"apply", "-f", ticketPath(t), "--wait"},
+		{"get"},
+		{"history"},
+		{"history", "searcher", "s1"},
+		{"status"},
+		{"explain", "salao"},
+		{"drain", "s1", "--number", "9", "--operator", "ana", "--service", "salao"},
+		{"replace", "c1", "c4", "--address", "127.0.0.1:9", "--data-centre", "x"},
+	}
+	for _, args := range cases {
+		t.Run(strings.Join(args[:1], " "), func(t *testing.T) {
+			b := newBench(t)
+			b.addEntry(t, 3)
+			code, out, errs := b.run(append(args, "--output", "json")...)
+			assert.Equal(t, code, cli.ExitDone, errs)
+			assert.Check(t, json.Valid([]byte(out)), out)
+			assert.Equal(t, strings.Count(out, "\n"), 1)
+		})
+	}
+}
+
+func TestUsageMistakesExit2(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bad.ini")
+	assert.NilError(t, os.WriteFile(path, []byte("[ticket]\nnumber = x\n"), 0o600))
+	cases := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"bad ticket", []string{"apply", "-f", path}, path + `: [ticket] number: "x" isn't a whole number from 0 in range`},
+		{"no file", []string{"apply"}, `Required flag "file" not set`},
+		{"bad format", []string{"status", "-o", "yaml"}, `--output: "yaml" is neither text nor json`},
+		{"name for an address", []string{"status", "--entry", "localhost:1"}, `--entry: "localhost:1" isn't IP:port; names are not looked up`},
+		{"stray argument", []string{"get", "service", "a", "b"}, `unexpected argument "b"`},
+		{"kind without a name", []string{"history", "rule"}, `a name must follow the kind "rule"`},
+		{"no service", []string{"explain"}, "the service is missing"},
+		{"no settings to check", []string{"check-config"}, "--config FILE is missing"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			code, _, errs := b.run(tc.args...)
+			assert.Equal(t, errs, "wigeonctl: "+tc.want+"\n")
+			assert.Equal(t, code, cli.ExitUsage)
+		})
+	}
+}
