--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -120,7 +120,7 @@
 		for i := range 10 {
 			searches.Schedule = append(searches.Schedule, Arrival{At: time.Duration(i) * 100 * time.Millisecond, Query: "imbuia"})
 		}
-		tally := searches.Run(t.Context())[0]
+		tally := searches.Run(t.Context())
 		assert.Equal(t, tally.Whole, 10)
 		assert.Assert(t, tally.Latency.Max() >= 999_000)
 		assert.Assert(t, tally.Latency.ValueAtQuantile(50) >= 500_000)
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -25,6 +25,8 @@
 	Whole    int
 	Partial  int
 	Refused  int
+	// WholeInTime counts the whole answers that came before the run's end.
+	WholeInTime int
 	// Mixed, Foreign and Untrue count faulty answers; Broken counts searches
 	// without a whole reply.
 	Mixed   int
@@ -86,6 +88,7 @@
 	coverage api.Coverage
 	latency  time.Duration
 	refusal  time.Duration
+	inTime   bool
 }
 
 func (r *recorder) add(s search) {
@@ -113,6 +116,9 @@
 	switch s.verdict {
 	case Whole:
 		t.Whole++
+		if s.inTime {
+			t.WholeInTime++
+		}
 	case Partial:
 		t.Partial++
 	case Mixed:
@@ -137,6 +143,7 @@
 func (t *Tally) Merge(other *Tally) {
 	t.Searches += other.Searches
 	t.Whole += other.Whole
+	t.WholeInTime += other.WholeInTime
 	t.Partial += other.Partial
 	t.Refused += other.Refused
 	t.Mixed += other.Mixed
--- a/internal/load/search.go
+++ b/internal/load/search.go
@@ -26,19 +26,14 @@
 	Name string
 	// Extra is added to each latency: the delays of a network that isn't there.
 	Extra time.Duration
-	// Part says to which tally an arrival belongs; nil puts all into one.
-	Part func(Arrival) int
-	// Parts is the number of tallies, at least 1.
-	Parts int
+	// Length is the time by whose end an answer counts as in time.
+	Length time.Duration
 }
 
-// Run sends every search at its time, waits for all of them and returns a
-// tally for each part. When the context ends, no further search is sent.
-func (s *Searches) Run(ctx context.Context) []*Tally {
-	recorders := make([]*recorder, max(1, s.Parts))
-	for i := range recorders {
-		recorders[i] = &recorder{tally: NewTally()}
-	}
+// Run sends every search at its time, waits for all of them and returns what
+// became of them. When the context ends, no further search is sent.
+func (s *Searches) Run(ctx context.Context) *Tally {
+	into := &recorder{tally: NewTally()}
 	var wait sync.WaitGroup
 	start := time.Now()
 	for i, arrival := range s.Schedule {
@@ -46,22 +41,14 @@
 		if !sleepUntil(ctx, intended) {
 			break
 		}
-		into := recorders[s.part(arrival)]
-		wait.Go(func() { into.add(s.one(ctx, i, arrival, intended)) })
+		wait.Go(func() {
+			outcome := s.one(ctx, i, arrival, intended)
+			outcome.inTime = time.Since(start) <= s.Length
+			into.add(outcome)
+		})
 	}
 	wait.Wait()
-	tallies := make([]*Tally, len(recorders))
-	for i, r := range recorders {
-		tallies[i] = r.tally
-	}
-	return tallies
-}
-
-func (s *Searches) part(arrival Arrival) int {
-	if s.Part == nil {
-		return 0
-	}
-	return s.Part(arrival)
+	return into.tally
 }
 
 // one sends one search and judges its reply. The context is not passed on: a
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -86,7 +86,7 @@
 	for i, service := range s.Services {
 		seed := s.Seed + uint64(i)
 		wait.Go(func() {
-			tally := s.searches(client, service, seed).Run(ctx)[0]
+			tally := s.searches(client, service, seed).Run(ctx)
 			mu.Lock()
 			defer mu.Unlock()
 			report.Tally.Merge(tally)
--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -18,6 +18,7 @@
 		s.answerRefusal(w, r, no)
 		return
 	}
+	s.counters.shards.Add(int64(len(request.Shards)))
 	if no := s.enter(); no != nil {
 		s.answerRefusal(w, r, no)
 		return
@@ -44,13 +45,19 @@
 		return nil, no
 	}
 	defer s.slots.release()
-	if !pause(ctx, s.times.draw(time.Now(), holding.Warm)) {
+	if !pause(ctx, s.searchTime(request, holding)) {
 		return nil, s.abandoned(ctx)
 	}
-	s.counters.ran.Add(1)
+	s.counters.ran.Add(int64(len(request.Shards)))
 	return s.find(request, holding), nil
 }
 
+// searchTime is the time that the request holds its slot: shards are searched
+// one after the other.
+func (s *Searcher) searchTime(request api.ShardRequest, holding api.Holding) time.Duration {
+	return time.Duration(len(request.Shards)) * s.times.draw(time.Now(), holding.Warm)
+}
+
 // abandoned tells of a request that held a slot and did not finish.
 func (s *Searcher) abandoned(ctx context.Context) *refusal {
 	s.counters.cancelled.Add(1)
--- a/internal/searcher/servicetime.go
+++ b/internal/searcher/servicetime.go
@@ -35,7 +35,13 @@
 	}
 }
 
-// draw returns the service time of one request that begins at now.
+// MeanServiceTime returns the mean of log-normal service times with the given
+// median and spread, the standard deviation of their logarithm.
+func MeanServiceTime(median time.Duration, spread float64) time.Duration {
+	return time.Duration(float64(median) * math.Exp(spread*spread/2))
+}
+
+// draw returns the service time of one shard of a request that begins at now.
 func (t *serviceTimes) draw(now time.Time, warm bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/searcher/stats.go
+++ b/internal/searcher/stats.go
@@ -11,6 +11,7 @@
 // counters counts what the searcher has seen since its start.
 type counters struct {
 	searches, submits, probes  atomic.Int64
+	shards                     atomic.Int64
 	ran, shed, late, cancelled atomic.Int64
 	noSnapshot                 atomic.Int64
 	duringDrain, longAfter     atomic.Int64
@@ -31,7 +32,10 @@
 	Searches int64 `json:"searches"`
 	Submits  int64 `json:"submits"`
 	Probes   int64 `json:"probes"`
-	// Ran counts the searches that finished.
+	// Shards counts the shards that the searches asked for, also those that
+	// were refused.
+	Shards int64 `json:"shards"`
+	// Ran counts the shards whose search finished.
 	Ran int64 `json:"ran"`
 	// Shed, Late and NoSnapshot count refusals: no room, no time, not held.
 	Shed       int64 `json:"shed"`
@@ -56,6 +60,7 @@
 		Searches:       s.counters.searches.Load(),
 		Submits:        s.counters.submits.Load(),
 		Probes:         s.counters.probes.Load(),
+		Shards:         s.counters.shards.Load(),
 		Ran:            s.counters.ran.Load(),
 		Shed:           s.counters.shed.Load(),
 		Late:           s.counters.late.Load(),
--- /dev/null
+++ b/internal/testbed/shape.go
@@ -0,0 +1,67 @@
+package testbed
+
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/catalogue"
+	"wigeonbay/internal/searcher"
+)
+
+// ServiceShape describes a service and its searchers.
+type ServiceShape struct {
+	// Service is the service's configuration; its name is also the prefix of
+	// its searchers' names.
+	Service api.Service
+	// Catalogue is what its searchers search.
+	Catalogue *catalogue.Catalogue
+	// Shards is the number of shards in the first layout.
+	Shards int
+	// Searchers is the number of searchers.
+	Searchers int
+	// Holds is the number of shards that each searcher holds; they are laid
+	// out in turn, so a shard has Searchers*Holds/Shards replicas.
+	Holds int
+	// Slots, Queue and Connections are the limits of each searcher.
+	Slots       int
+	Queue       int
+	Connections int
+	// AcceptDelay is what a new connection takes.
+	AcceptDelay time.Duration
+	// NetworkDelay is the one-way delay to the entry nodes.
+	NetworkDelay time.Duration
+	// ServiceTime and Spread describe the log-normal service time.
+	ServiceTime time.Duration
+	Spread      float64
+}
+
+// ShardsOf returns the shards that a searcher holds.
+func (s ServiceShape) ShardsOf(number int) []api.ShardID {
+	shards := make([]api.ShardID, s.Holds)
+	for i := range shards {
+		shards[i] = api.ShardID((number + i) % s.Shards)
+	}
+	return shards
+}
+
+// Holding returns what a searcher holds of a snapshot in the first layout.
+func (s ServiceShape) Holding(number int, version uint64, warm bool) api.Holding {
+	return api.Holding{
+		Snapshot:     api.Snapshot{Layout: 1, Version: version},
+		LayoutShards: s.Shards,
+		Shards:       s.ShardsOf(number),
+		Warm:         warm,
+	}
+}
+
+// Capacity is the number of whole searches a second that the slots of all
+// searchers carry.
+func (s ServiceShape) Capacity() float64 {
+	slots := float64(s.Searchers * s.Slots)
+	return slots / s.MeanServiceTime().Seconds() / float64(s.Shards)
+}
+
+// MeanServiceTime is the mean of the service time of one shard.
+func (s ServiceShape) MeanServiceTime() time.Duration {
+	return searcher.MeanServiceTime(s.ServiceTime, s.Spread)
+}
