Entry node joins membership and configuration sync

Cause: an entry node knew only the targets that announced to itself, and had no configuration. Ruled out: announcements forwarded by the entry driver itself (membership owns the records and their leases). Change: entry/driver/peers.go turns membership's and configsync's news into events; a node is ready only when configsync says that its configuration is no older than its data centre's. Before: one node, no configuration.

--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -144,7 +144,13 @@
 
 // ready reports whether the balancer may send requests.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.installed.Load() && n.peers.ready()
+	if n.draining.Load() {
+		return false
+	}
+	if n.peers.follows() {
+		return n.peers.ready()
+	}
+	return n.installed.Load()
 }
 
 func (n *Node) listen(ctx context.Context) error {
--- a/internal/entry/driver/peers.go
+++ b/internal/entry/driver/peers.go
@@ -2,37 +2,140 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/configsync"
 	"wigeonbay/internal/entry"
+	membership "wigeonbay/internal/membership/driver"
 	"wigeonbay/internal/wire"
 )
 
-// peers joins the node to the other entry nodes and to the control processes.
+// leaveTimeout bounds how long a stopping node tells its peers of it.
+const leaveTimeout = 2 * time.Second
+
+// peers joins the node to the other entry nodes and to the control processes,
+// and turns their news into events.
 type peers struct {
-	node *Node
+	node       *Node
+	membership *membership.Service
+	// config is nil for a node whose settings name no control process.
+	config *configsync.Service
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n}
+	p := &peers{node: n}
+	p.membership = membership.New(membership.Config{
+		ID:          n.settings.Node.ID,
+		Address:     n.settings.Listen.Peers,
+		DataCentre:  n.settings.Node.DataCentre,
+		Region:      n.settings.Node.Region,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Seeds:       n.settings.Peers,
+		Client:      n.client,
+		Logger:      n.logger,
+		OnChange:    p.changed,
+		Seed:        xxhash.Sum64String(n.settings.Node.ID),
+	})
+	if len(n.settings.Controls) > 0 {
+		p.config = configsync.New(configsync.Config{
+			Self:     n.settings.Node,
+			Controls: n.settings.Controls,
+			Peers:    p.membership.Members,
+			Client:   n.client,
+			Logger:   n.logger,
+			OnConfig: p.configured,
+		})
+	}
+	return p
 }
 
-func (p *peers) register(*wire.Server) error { return nil }
+func (p *peers) register(server *wire.Server) error {
+	if err := p.membership.Register(server); err != nil {
+		return err
+	}
+	if p.config == nil {
+		return nil
+	}
+	return p.config.Register(server)
+}
 
-func (p *peers) start() {}
+func (p *peers) start() {
+	p.membership.Start()
+	if p.config != nil {
+		p.config.Start()
+	}
+}
 
-func (p *peers) stop(context.Context) {}
+// stop leaves the other entry nodes, so that they take over this node's share
+// of connections and slots without waiting to suspect it.
+func (p *peers) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := p.membership.Leave(ctx); err != nil {
+		p.node.logger.Debug("leave", zap.Error(err))
+	}
+	p.membership.Stop()
+	if p.config != nil {
+		p.config.Stop()
+	}
+}
 
-func (p *peers) ready() bool { return true }
+// follows reports whether the node follows control processes.
+func (p *peers) follows() bool {
+	return p.config != nil
+}
 
-func (p *peers) configAge() int64 { return -1 }
+// ready reports whether the node holds a configuration that is no older than
+// what its data centre has served.
+func (p *peers) ready() bool {
+	return p.config.Ready()
+}
 
-func (p *peers) members() []api.EntryMember { return nil }
+// configAge returns the milliseconds since a control quorum last confirmed the
+// configuration; -1 means never.
+func (p *peers) configAge() int64 {
+	if p.config == nil {
+		return -1
+	}
+	return max(-1, p.config.Age().Milliseconds())
+}
+
+func (p *peers) members() []api.EntryMember {
+	return p.membership.Members()
+}
 
 // announce takes a target's announcement.
-func (p *peers) announce(_ context.Context, a api.Announcement) (api.AnnounceReply, error) {
-	p.node.step(entry.TargetChanged{Announcement: a})
-	return api.AnnounceReply{Sequence: a.Sequence, RenewMS: a.LeaseMS / 3}, nil
+func (p *peers) announce(ctx context.Context, a api.Announcement) (api.AnnounceReply, error) {
+	return p.membership.Announce(ctx, a)
+}
+
+func (p *peers) reportTarget(e entry.ReportTarget) {
+	go p.membership.ReportTarget(e.Target, e.Incarnation, e.State)
+}
+
+func (p *peers) changed(change membership.Change) {
+	if change.Members != nil {
+		p.node.step(entry.MembersChanged{PerDataCentre: countMembers(change.Members)})
+	}
+	for _, a := range change.Targets {
+		p.node.step(entry.TargetChanged{Announcement: a})
+	}
+}
+
+// countMembers counts the entry nodes that may hold connections to targets.
+// A suspected or unreachable node counts: it may still hold its share.
+func countMembers(members []api.EntryMember) map[string]int {
+	count := map[string]int{}
+	for _, m := range members {
+		count[m.DataCentre]++
+	}
+	return count
 }
 
-func (p *peers) reportTarget(entry.ReportTarget) {}
+func (p *peers) configured(config api.Configuration, _ time.Duration) {
+	p.node.InstallConfig(config)
+}
