--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -42,6 +42,7 @@
 	logger   *zap.Logger
 	pool     *pool.Pool
 	client   *wire.Client
+	trust    trust
 	ledger   *ledgerClient
 	peers    *peers
 
@@ -71,11 +72,16 @@
 	if policy == "" {
 		policy = route.PolicyShipped
 	}
+	trust, err := newTrust(config.TLS)
+	if err != nil {
+		return nil, err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: config,
 		logger:   logger,
-		client:   wire.NewClient(nil),
+		client:   wire.NewClient(trust.dial),
+		trust:    trust,
 		state:    entry.New(entry.Options{DataCentre: config.Node.DataCentre, Policy: policy}),
 		timers:   map[entry.QueryID]*time.Timer{},
 		waiters:  map[entry.QueryID]*waiter{},
@@ -171,9 +177,9 @@
 	if err := n.peers.register(n.rpc); err != nil {
 		return err
 	}
-	n.rpc.Serve(rpc)
+	n.rpc.Serve(n.trust.wrap(rpc))
 	n.callers = n.serve(callers, n.callersHandler())
-	n.operators = n.serve(operators, n.operatorsHandler())
+	n.operators = n.serve(n.trust.wrap(operators), n.operatorsHandler())
 	return nil
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -50,7 +50,7 @@
 	h.announceShards(name, state, []api.ShardID{0, 1}, snapshots...)
 }
 
-func (h *harness) announceShards(name string, state api.TargetState, shards []api.ShardID, snapshots ...api.Snapshot) {
+func (h *harness) announceShards(name string, state api.TargetState, shards []api.ShardID, snapshots ...api.Snapshot) []Effect {
 	a := api.Announcement{
 		Target: api.TargetID(name), Incarnation: 1, Sequence: uint64(h.now.UnixNano()),
 		Service: "lots", DataCentre: "oeste", Address: "127.0.0.1:1", State: state,
@@ -59,7 +59,7 @@
 	for _, s := range snapshots {
 		a.Holdings = append(a.Holdings, api.Holding{Snapshot: s, LayoutShards: 2, Shards: shards, Warm: true})
 	}
-	h.do(TargetChanged{Announcement: a})
+	return h.do(TargetChanged{Announcement: a})
 }
 
 func (h *harness) search() (QueryID, []Effect) {
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -215,3 +215,25 @@
 	got, _ = h.state.applyRules("old", "inspector", 5)
 	assert.Equal(t, got, "old")
 }
+
+// fault: delayed and reordered replies x restart
+func TestReplyFromBeforeARestartIsDropped(t *testing.T) {
+	h := newHarness(t, api.Service{})
+	h.announceShards("a", api.TargetReady, []api.ShardID{0}, first)
+	h.announceShards("b", api.TargetReady, []api.ShardID{1}, first)
+	_, effects := h.search()
+	sent := all[SendShards](effects)
+	h.announceShards("a", api.TargetReady, []api.ShardID{0}, second)
+	h.announceShards("b", api.TargetReady, []api.ShardID{1}, second)
+	effects = h.do(AttemptFailed{
+		Attempt: sent[1].Attempt, Kind: FailureRefused, Code: api.TargetNoSnapshot, NotRun: true, Header: ready,
+	})
+	assert.Equal(t, only[CancelAttempt](t, effects).Attempt, sent[0].Attempt)
+	again := all[SendShards](effects)
+	effects = h.reply(sent[0])
+	assert.Equal(t, only[DiscardReply](t, effects).Attempt, sent[0].Attempt)
+	h.reply(again[0])
+	got := only[AnswerSearch](t, h.reply(again[1]))
+	assert.Equal(t, got.Snapshot, second)
+	assert.Equal(t, len(got.Accepted), 2)
+}
