Control group: replication, write-ahead log and process

Cause: tickets and claims need state that survives any one control VM; nothing replicated or kept it yet. Change: a pure step function for the protocol, a write-ahead log with group commit, a driver over net/rpc, and wigeon-control. Replace, isolation and disk failures are written but not tested in this commit.

--- /dev/null
+++ b/internal/control/driver/counters.go
@@ -0,0 +1,37 @@
+package driver
+
+import "wigeonbay/internal/control/replica"
+
+// Counters is what the node shows at /debug/vars.
+type Counters struct {
+	Role        string `json:"role"`
+	Term        uint64 `json:"term"`
+	Leader      string `json:"leader"`
+	Version     uint64 `json:"version"`
+	Claims      int    `json:"claims"`
+	QuorumAgeMS int64  `json:"quorum_age_ms"`
+	LogBytes    int64  `json:"log_bytes"`
+	// Syncs and Writes count the log's syncs and the writes that shared them.
+	Syncs  uint64 `json:"syncs"`
+	Writes uint64 `json:"writes"`
+	Ready  bool   `json:"ready"`
+}
+
+// Counters returns the node's counters.
+func (n *Node) Counters() Counters {
+	v := n.view.Load()
+	n.machineMu.RLock()
+	defer n.machineMu.RUnlock()
+	return Counters{
+		Role:        v.role.String(),
+		Term:        v.term,
+		Leader:      v.leader.ID,
+		Version:     n.machine.Version(),
+		Claims:      n.machine.Claims(),
+		QuorumAgeMS: n.quorumAgeMS(),
+		LogBytes:    n.log.Bytes(),
+		Syncs:       n.disk.syncs.Load(),
+		Writes:      n.disk.writes.Load(),
+		Ready:       v.role == replica.RoleLeader || !v.leader.IsZero(),
+	}
+}
--- /dev/null
+++ b/internal/control/driver/disk.go
@@ -0,0 +1,98 @@
+package driver
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"wigeonbay/internal/control/replica"
+)
+
+// diskWork is one thing to write: a log write or a snapshot.
+type diskWork struct {
+	persist  *replica.Persist
+	snapshot *replica.Snapshot
+}
+
+// diskQueue holds what waits for the disk, in order. It has no bound of its
+// own: the loop must never wait for the disk, and what it holds is bounded by
+// the proposals and messages in flight.
+type diskQueue struct {
+	mu    sync.Mutex
+	work  []diskWork
+	ready chan struct{}
+
+	syncs  atomic.Uint64
+	writes atomic.Uint64
+}
+
+func newDiskQueue() *diskQueue { return &diskQueue{ready: make(chan struct{}, 1)} }
+
+func (q *diskQueue) add(work diskWork) {
+	q.mu.Lock()
+	q.work = append(q.work, work)
+	q.mu.Unlock()
+	q.wake()
+}
+
+func (q *diskQueue) wake() {
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take removes up to limit log writes from the front, or one snapshot.
+func (q *diskQueue) take(limit int) []diskWork {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	count := 0
+	for count < len(q.work) && count < limit && q.work[count].snapshot == nil {
+		count++
+	}
+	if count == 0 && len(q.work) > 0 {
+		count = 1
+	}
+	taken := q.work[:count:count]
+	q.work = q.work[count:]
+	return taken
+}
+
+// writeDisk writes to the log until the node stops. Whatever gathers during
+// one sync shares the next.
+func (n *Node) writeDisk() {
+	defer n.running.Done()
+	for {
+		select {
+		case <-n.stop.Done():
+			return
+		case <-n.disk.ready:
+		}
+		for work := n.disk.take(n.o.GroupCommit); len(work) > 0; work = n.disk.take(n.o.GroupCommit) {
+			if err := n.write(work); err != nil {
+				n.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) write(work []diskWork) error {
+	if snapshot := work[0].snapshot; snapshot != nil {
+		if err := n.log.SaveSnapshot(*snapshot); err != nil {
+			return err
+		}
+		n.post(inspection(func(*replica.State) { n.snapshotSaved(*snapshot) }))
+		return nil
+	}
+	writes := make([]replica.Persist, len(work))
+	for i, item := range work {
+		writes[i] = *item.persist
+	}
+	if err := n.log.Write(writes); err != nil {
+		return err
+	}
+	n.disk.syncs.Add(1)
+	n.disk.writes.Add(uint64(len(writes)))
+	n.post(replica.Persisted{Seq: writes[len(writes)-1].Seq})
+	return nil
+}
--- /dev/null
+++ b/internal/control/driver/found.go
@@ -0,0 +1,87 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
+)
+
+// mayFound reports whether this replica takes part in founding the group: it
+// holds nothing and its settings name it as one of the first members.
+func (n *Node) mayFound() bool {
+	_, named := selfMember(n.set)
+	return named && !n.set.Join && n.state.LastIndex() == 0
+}
+
+// foundGroup asks the other first members who they are until the group exists.
+// The one with the lowest id founds it, once every one of them has answered
+// that it holds nothing: a member whose disk was lost else founds a second
+// group beside the one that the others still hold.
+func (n *Node) foundGroup() {
+	defer n.running.Done()
+	ticker := time.NewTicker(2 * n.set.Replication.Heartbeat)
+	defer ticker.Stop()
+	for {
+		if n.foundingDone() {
+			return
+		}
+		select {
+		case <-n.stop.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// foundingDone makes one try and reports whether there is nothing left to do.
+func (n *Node) foundingDone() bool {
+	held := false
+	err := n.inspect(n.stop, func(s *replica.State) { held = s.LastIndex() > 0 })
+	if err != nil || held {
+		return true
+	}
+	members := replica.Membership{Group: uuid.NewString()}
+	first := true
+	for _, peer := range n.set.Members {
+		hello, ok := n.greet(peer)
+		switch {
+		case !ok:
+			return false
+		case hello.Founded:
+			// The replica may be one of the first members that the leader has
+			// not reached yet, or one whose disk was lost.
+			telemetry.ControlGroupExists.Log(n.logger, zap.String("member", peer.ID))
+			return true
+		}
+		first = first && n.self.ID <= peer.ID
+		members.Members = append(members.Members, replica.Member{
+			Identity:   hello.Identity,
+			Address:    peer.Address,
+			DataCentre: peer.DataCentre,
+			Voter:      true,
+		})
+	}
+	if first {
+		telemetry.ControlFounded.Log(n.logger, zap.String("founding", members.Group))
+		n.post(replica.Found{Membership: members})
+	}
+	return first
+}
+
+// greet asks a first member who it is.
+func (n *Node) greet(peer settings.Peer) (HelloReply, bool) {
+	if peer.ID == n.self.ID {
+		return HelloReply{Identity: n.self}, true
+	}
+	ctx, cancel := context.WithTimeout(n.stop, n.set.Replication.ElectionTimeout)
+	defer cancel()
+	var hello HelloReply
+	err := n.client.Call(ctx, peer.Address, methodHello, &HelloArgs{Group: n.set.Group}, &hello)
+	return hello, err == nil && hello.Identity.ID == peer.ID
+}
--- /dev/null
+++ b/internal/control/driver/network_test.go
@@ -0,0 +1,45 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"wigeonbay/internal/wire"
+)
+
+// network cuts connections between replicas, known by address.
+type network struct {
+	mu    sync.Mutex
+	cut   map[string]bool
+	conns map[net.Conn][2]string
+}
+
+func newNetwork() *network {
+	return &network{cut: map[string]bool{}, conns: map[net.Conn][2]string{}}
+}
+
+var errCut = errors.New("cut off")
+
+// dialer returns the dial function of the replica at from.
+func (n *network) dialer(from string) wire.DialFunc {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		if n.isCut(from, to) {
+			return nil, errCut
+		}
+		conn, err := wire.DialTCP(ctx, to)
+		if err == nil {
+			n.mu.Lock()
+			n.conns[conn] = [2]string{from, to}
+			n.mu.Unlock()
+		}
+		return conn, err
+	}
+}
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[a] || n.cut[b]
+}
--- /dev/null
+++ b/internal/control/driver/node.go
@@ -0,0 +1,195 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/control/machine"
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/control/wal"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
+)
+
+// Node is one running control replica.
+type Node struct {
+	set    settings.Control
+	logger *zap.Logger
+	o      Options
+	self   replica.Identity
+	began  time.Time
+
+	log      *wal.Log
+	state    *replica.State // owned by the loop
+	inbox    chan any
+	proposed chan proposal
+	asked    chan readWaiter
+	waiters  waiters // owned by the loop
+	random   *rand.Rand
+	shot     snapshotState // owned by the loop
+	disk     *diskQueue
+	view     atomic.Pointer[view]
+	changed  *broadcast // of the view's leader or role
+	nextID   atomic.Uint64
+
+	machineMu sync.RWMutex
+	machine   *machine.Machine
+	applied   *broadcast // of the machine's version
+
+	listener net.Listener
+	server   *wire.Server
+	client   *wire.Client
+	peers    *peers
+
+	stop     context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	failOnce sync.Once
+}
+
+// New opens the data folder and builds a node that listens but does not run.
+// A folder that can't be used is refused with an error of one line.
+func New(set settings.Control, logger *zap.Logger, options Options) (*Node, error) {
+	registerBodies()
+	o := options.withDefaults()
+	log, found, err := wal.Open(wal.Options{
+		FS:             o.FS,
+		Folder:         set.Storage.Folder,
+		Group:          set.Group,
+		Replica:        set.Node.ID,
+		NewIncarnation: o.NewIncarnation,
+		SegmentBytes:   set.Storage.SegmentBytes,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("open data folder: %w", err)
+	}
+	n := &Node{set: set, logger: logger, o: o, log: log}
+	if err := n.build(found); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	return n, nil
+}
+
+func (n *Node) build(found wal.Recovered) error {
+	n.self = replica.Identity{ID: n.set.Node.ID, Incarnation: found.Identity.Incarnation}
+	n.began = time.Now()
+	n.inbox = make(chan any, inboxSize)
+	n.proposed = make(chan proposal, proposalBatch)
+	n.asked = make(chan readWaiter, proposalBatch)
+	n.waiters = newWaiters()
+	n.random = rand.New(rand.NewPCG(n.o.Seed, 0))
+	n.disk = newDiskQueue()
+	n.changed = newBroadcast()
+	n.applied = newBroadcast()
+	n.stop, n.cancel = context.WithCancel(context.Background())
+	n.machine = machine.New(n.set.Replication.LedgerRetention)
+	if err := n.restoreFound(found); err != nil {
+		return err
+	}
+	n.client = wire.NewClient(n.o.Dial)
+	n.peers = newPeers(n)
+	n.publish()
+	return n.listen()
+}
+
+// restoreFound takes over what the data folder holds.
+func (n *Node) restoreFound(found wal.Recovered) error {
+	if found.Snapshot.Meta.Index > 0 {
+		if err := n.machine.Restore(found.Snapshot.Data); err != nil {
+			return fmt.Errorf("restore snapshot %d: %w", found.Snapshot.Meta.Index, err)
+		}
+	}
+	n.shot.saved = found.Snapshot
+	n.shot.takenAt = found.Snapshot.Meta.Index
+	n.state = replica.New(n.config(), replica.Restored{
+		HardState: found.HardState,
+		Snapshot:  found.Snapshot.Meta,
+		Entries:   found.Entries,
+	})
+	telemetry.ControlRecovered.Log(n.logger,
+		zap.String("incarnation", n.self.Incarnation),
+		zap.Bool("fresh", found.Fresh),
+		zap.Bool("torn_tail", found.Torn),
+		zap.Uint64("snapshot", found.Snapshot.Meta.Index),
+		zap.Int("entries", len(found.Entries)))
+	return nil
+}
+
+func (n *Node) config() replica.Config {
+	return replica.Config{
+		Self:            n.self,
+		Heartbeat:       n.set.Replication.Heartbeat,
+		ElectionTimeout: n.set.Replication.ElectionTimeout,
+		MaxBatchEntries: replica.DefaultMaxBatchEntries,
+		MaxBatchBytes:   replica.DefaultMaxBatchBytes,
+		MaxInflight:     replica.DefaultMaxInflight,
+	}
+}
+
+func (n *Node) listen() error {
+	n.listener = n.o.Listener
+	if n.listener == nil {
+		listener, err := net.Listen("tcp", n.set.Listen.Peers)
+		if err != nil {
+			return fmt.Errorf("listen for peers: %w", err)
+		}
+		n.listener = listener
+	}
+	n.server = wire.NewServer()
+	if err := n.server.Register("Control", &controlService{n}); err != nil {
+		return err
+	}
+	return n.server.Register(peerServiceName, &peerService{n})
+}
+
+// Start runs the node. It returns at once.
+func (n *Node) Start() {
+	founds := n.mayFound()
+	n.running.Add(2)
+	go n.loop()
+	go n.writeDisk()
+	n.server.Serve(n.listener)
+	if founds {
+		n.running.Add(1)
+		go n.foundGroup()
+	}
+	telemetry.ControlStarted.Log(n.logger, zap.String("peers", n.Address()))
+}
+
+// Address returns the peers' address that the node listens on.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// Stop ends the node: calls that wait are answered, then the log is closed.
+func (n *Node) Stop() error {
+	n.cancel()
+	n.applied.signal()
+	n.changed.signal()
+	n.disk.wake()
+	n.peers.wait()
+	n.client.Close()
+	n.server.Close()
+	n.running.Wait()
+	telemetry.ControlStopped.Log(n.logger)
+	return n.log.Close()
+}
+
+// fail ends the node after an error that it can't go on from.
+func (n *Node) fail(err error) {
+	n.failOnce.Do(func() {
+		telemetry.ControlFailed.Log(n.logger, zap.Error(err))
+		n.cancel()
+		n.o.Fatal(err)
+	})
+}
+
+// now returns the time since the node began; never 0, which means never.
+func (n *Node) now() time.Duration { return time.Since(n.began) + 1 }
--- /dev/null
+++ b/internal/control/driver/options.go
@@ -0,0 +1,77 @@
+package driver
+
+import (
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wigeonbay/internal/control/wal"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/wire"
+)
+
+// Options replaces the node's surroundings; the zero value is the real ones.
+type Options struct {
+	// Dial opens connections to other replicas.
+	Dial wire.DialFunc
+	// FS is the file system with the data folder.
+	FS wal.FS
+	// Listener serves the peers' address in place of a new TCP listener.
+	Listener net.Listener
+	// NewIncarnation mints the incarnation of an empty data folder.
+	NewIncarnation func() string
+	// Seed feeds the jitter of the election timeout; 0 takes a random one.
+	Seed uint64
+	// GroupCommit bounds the log writes that share one sync.
+	GroupCommit int
+	// Fatal is called once, when the node can't go on: a failed sync, for one.
+	// The process must then end.
+	Fatal func(error)
+}
+
+const (
+	// defaultGroupCommit bounds the writes that one sync makes last.
+	defaultGroupCommit = 256
+	// ticksPerHeartbeat sets the resolution of the protocol's clock.
+	ticksPerHeartbeat = 5
+	// inboxSize bounds the events that wait for the protocol's goroutine.
+	inboxSize = 1024
+	// proposalBatch bounds the proposals that share one event.
+	proposalBatch = 256
+	// peerQueue bounds the messages that wait for one replica; more are
+	// dropped, and the protocol sends again.
+	peerQueue = 256
+)
+
+func (o Options) withDefaults() Options {
+	if o.FS == nil {
+		o.FS = wal.OS()
+	}
+	if o.NewIncarnation == nil {
+		o.NewIncarnation = uuid.NewString
+	}
+	if o.GroupCommit <= 0 {
+		o.GroupCommit = defaultGroupCommit
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixNano())
+	}
+	if o.Fatal == nil {
+		o.Fatal = func(error) {}
+	}
+	return o
+}
+
+func (n *Node) tickInterval() time.Duration {
+	return max(time.Millisecond, n.set.Replication.Heartbeat/ticksPerHeartbeat)
+}
+
+func selfMember(set settings.Control) (settings.Peer, bool) {
+	for _, member := range set.Members {
+		if member.ID == set.Node.ID {
+			return member, true
+		}
+	}
+	return settings.Peer{}, false
+}
--- /dev/null
+++ b/internal/control/driver/peer_service.go
@@ -0,0 +1,88 @@
+package driver
+
+import (
+	"fmt"
+
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/controlrpc"
+)
+
+// peerService holds the net/rpc methods between replicas. Its calls are carried
+// out here or refused; they are never forwarded, so no call can go in a circle.
+type peerService struct{ n *Node }
+
+// HelloArgs asks a replica who it is.
+type HelloArgs struct {
+	Group string
+}
+
+// HelloReply tells who a replica is.
+type HelloReply struct {
+	Identity replica.Identity
+	// Founded tells that the replica holds a log of the group.
+	Founded bool
+}
+
+// Deliver takes messages in.
+func (p *peerService) Deliver(args *DeliverArgs, _ *DeliverReply) error {
+	if err := p.sameGroup(args.Group); err != nil {
+		return err
+	}
+	for _, m := range args.Messages {
+		p.n.peers.learn(m.From, args.Address)
+		if !p.n.post(replica.Receive{Message: m}) {
+			return errStopping
+		}
+	}
+	return nil
+}
+
+// Hello tells who the replica is.
+func (p *peerService) Hello(args *HelloArgs, reply *HelloReply) error {
+	if err := p.sameGroup(args.Group); err != nil {
+		return err
+	}
+	reply.Identity = p.n.self
+	return p.n.inspect(p.n.stop, func(s *replica.State) {
+		reply.Founded = s.LastIndex() > 0
+	})
+}
+
+func (p *peerService) sameGroup(group string) error {
+	if group != p.n.set.Group {
+		return fmt.Errorf("replica %s is of group %q, not %q", p.n.self.ID, p.n.set.Group, group)
+	}
+	return nil
+}
+
+// Apply is Control.Apply for a replica that takes this one for the leader.
+func (p *peerService) Apply(args *controlrpc.ApplyArgs, reply *controlrpc.ApplyReply) error {
+	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
+	defer cancel()
+	*reply = p.n.applyHere(ctx, args)
+	return nil
+}
+
+// Claim is Control.Claim for a replica that takes this one for the leader.
+func (p *peerService) Claim(args *controlrpc.ClaimArgs, reply *controlrpc.ClaimReply) error {
+	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
+	defer cancel()
+	*reply = p.n.claimHere(ctx, args)
+	return nil
+}
+
+// Record is Control.Record for a replica that takes this one for the leader.
+func (p *peerService) Record(args *controlrpc.RecordArgs, reply *controlrpc.RecordReply) error {
+	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
+	defer cancel()
+	*reply = p.n.recordHere(ctx, args)
+	return nil
+}
+
+// Replace is Control.Replace for a replica that takes this one for the leader.
+func (p *peerService) Replace(args *controlrpc.ReplaceArgs, reply *controlrpc.ReplaceReply) error {
+	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
+	defer cancel()
+	*reply = p.n.replaceHere(ctx, args)
+	return nil
+}
--- /dev/null
+++ b/internal/control/wal/fs.go
@@ -0,0 +1,105 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// File is an open file.
+type File interface {
+	io.Writer
+	io.Closer
+	// Sync returns once what was written is on the disk.
+	Sync() error
+}
+
+// FS is the part of a file system that the log needs. A new, renamed or
+// removed name lasts only once SyncDir has returned.
+type FS interface {
+	MkdirAll(folder string) error
+	ReadDir(folder string) ([]string, error)
+	ReadFile(path string) ([]byte, error)
+	// Create opens a new, empty file for writing.
+	Create(path string) (File, error)
+	// Append opens an existing file for writing at its end.
+	Append(path string) (File, error)
+	Truncate(path string, size int64) error
+	Rename(from, to string) error
+	Remove(path string) error
+	SyncDir(folder string) error
+	// Lock keeps other processes from the folder until it is closed.
+	Lock(path string) (io.Closer, error)
+}
+
+// ErrLocked tells that another process uses the data folder.
+var ErrLocked = errors.New("data folder is in use by another process")
+
+// OS returns the operating system's file system.
+func OS() FS { return osFS{} }
+
+type osFS struct{}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+func (osFS) MkdirAll(folder string) error { return os.MkdirAll(folder, folderMode) }
+
+func (osFS) ReadDir(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, entry := range entries {
+		names[i] = entry.Name()
+	}
+	return names, nil
+}
+
+func (osFS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (osFS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+func (osFS) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_APPEND|os.O_WRONLY, fileMode)
+}
+
+func (osFS) Truncate(path string, size int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Truncate(size), file.Sync(), file.Close())
+}
+
+func (osFS) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFS) Remove(path string) error { return os.Remove(path) }
+
+func (osFS) SyncDir(folder string) error {
+	dir, err := os.Open(filepath.Clean(folder))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+func (osFS) Lock(path string) (io.Closer, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, ErrLocked), file.Close())
+	}
+	return file, nil
+}
--- /dev/null
+++ b/internal/control/wal/log.go
@@ -0,0 +1,277 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync/atomic"
+
+	"wigeonbay/internal/control/replica"
+)
+
+// ErrFailed tells that an earlier write or sync failed. What the disk holds is
+// then unknown (a second sync may succeed without having written anything), so
+// the log takes nothing more and the process must stop.
+var ErrFailed = errors.New("write-ahead log has failed")
+
+// Options says whose folder is opened and how.
+type Options struct {
+	FS     FS
+	Folder string
+	// Group and Replica are checked against an existing folder.
+	Group   string
+	Replica string
+	// NewIncarnation mints the incarnation of an empty folder.
+	NewIncarnation func() string
+	// SegmentBytes is the size from which a segment is closed.
+	SegmentBytes int64
+}
+
+// Recovered is what a data folder held.
+type Recovered struct {
+	Identity Identity
+	// Fresh tells that the folder was empty and has just been given an
+	// identity.
+	Fresh     bool
+	HardState replica.HardState
+	Snapshot  replica.Snapshot
+	// Entries follow the snapshot.
+	Entries []replica.Entry
+	// Torn tells that an unsynced tail was cut off.
+	Torn bool
+}
+
+// Log is an open write-ahead log. It is not safe for concurrent use.
+type Log struct {
+	files        FS
+	folder       string
+	segmentBytes int64
+	lock         io.Closer
+
+	active *segment
+	closed []closedSegment
+	hard   replica.HardState
+	// newest is the index of the newest snapshot.
+	newest uint64
+	// bytes is the size of the closed segments.
+	bytes atomic.Int64
+	torn  *tornTail
+	// stale tells that the entries found are older than the snapshot.
+	stale  bool
+	failed error
+}
+
+type closedSegment struct {
+	number uint64
+	last   uint64
+	size   int64
+}
+
+// Open opens or founds a data folder. A folder that is another's or damaged is
+// refused with a *FolderError and left as it is.
+func Open(o Options) (*Log, Recovered, error) {
+	l := &Log{files: o.FS, folder: o.Folder, segmentBytes: o.SegmentBytes}
+	if err := l.files.MkdirAll(o.Folder); err != nil {
+		return nil, Recovered{}, fmt.Errorf("create data folder: %w", err)
+	}
+	lock, err := l.files.Lock(filepath.Join(o.Folder, lockName))
+	if err != nil {
+		return nil, Recovered{}, fmt.Errorf("lock data folder: %w", err)
+	}
+	l.lock = lock
+	out, err := l.open(o)
+	if err != nil {
+		return nil, Recovered{}, errors.Join(err, lock.Close())
+	}
+	return l, out, nil
+}
+
+func (l *Log) open(o Options) (Recovered, error) {
+	identity, fresh, err := l.identify(o)
+	if err != nil {
+		return Recovered{}, err
+	}
+	names, err := l.files.ReadDir(l.folder)
+	if err != nil {
+		return Recovered{}, fmt.Errorf("list data folder: %w", err)
+	}
+	out, err := l.recoverLog(names)
+	if err != nil {
+		return Recovered{}, err
+	}
+	if err := l.mend(names); err != nil {
+		return Recovered{}, err
+	}
+	out.Identity, out.Fresh, out.Torn = identity, fresh, l.torn != nil
+	return out, l.begin()
+}
+
+// begin starts a segment, which also makes the mended state last. Entries older
+// than the snapshot are marked as dropped, or the next ones would leave a gap.
+func (l *Log) begin() error {
+	if err := l.rotate(); err != nil {
+		return err
+	}
+	if !l.stale {
+		return nil
+	}
+	return l.active.write(batch{Records: []record{{ResetTo: l.newest}}})
+}
+
+// identify returns the folder's identity. A folder without a log gets a new
+// incarnation, also when it has an identity: either nobody has seen that one
+// yet, or the log was lost.
+func (l *Log) identify(o Options) (identity Identity, fresh bool, err error) {
+	want := Identity{Format: Format, Group: o.Group, Replica: o.Replica}
+	found, err := readIdentity(l.files, l.folder)
+	if err != nil {
+		return Identity{}, false, err
+	}
+	if found != nil {
+		if err := found.check(l.folder, want); err != nil {
+			return Identity{}, false, err
+		}
+		names, err := l.files.ReadDir(l.folder)
+		if err != nil || holdsLog(names) {
+			return *found, false, err
+		}
+	}
+	want.Incarnation = o.NewIncarnation()
+	return want, true, writeIdentity(l.files, l.folder, want)
+}
+
+func holdsLog(names []string) bool {
+	return len(numbers(names, segmentNumber))+len(numbers(names, snapshotIndex)) > 0
+}
+
+// Write makes writes last, in order, in one frame with one sync. Snapshots
+// among them are saved first. After an error the log is failed.
+func (l *Log) Write(writes []replica.Persist) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	return l.fail(l.write(writes))
+}
+
+func (l *Log) write(writes []replica.Persist) error {
+	var b batch
+	for _, w := range writes {
+		if w.HardState != nil {
+			b.HardState = w.HardState
+		}
+		if w.Snapshot != nil {
+			if err := l.install(*w.Snapshot); err != nil {
+				return err
+			}
+		}
+		if w.ResetLog {
+			b.Records = append(b.Records, record{ResetTo: w.Snapshot.Meta.Index})
+		}
+		for i := range w.Entries {
+			b.Records = append(b.Records, record{Entry: &w.Entries[i]})
+		}
+	}
+	if b.HardState == nil && len(b.Records) == 0 {
+		return nil
+	}
+	before := l.active.size
+	if err := l.active.write(b); err != nil {
+		return err
+	}
+	l.bytes.Add(l.active.size - before)
+	if b.HardState != nil {
+		l.hard = *b.HardState
+	}
+	if l.active.size < l.segmentBytes {
+		return nil
+	}
+	return l.rotate()
+}
+
+func (l *Log) install(snapshot replica.Snapshot) error {
+	if err := saveSnapshot(l.files, l.folder, snapshot); err != nil {
+		return err
+	}
+	l.newest = max(l.newest, snapshot.Meta.Index)
+	return nil
+}
+
+// SaveSnapshot saves a snapshot of the replica's own state machine and removes
+// what it replaces.
+func (l *Log) SaveSnapshot(snapshot replica.Snapshot) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.fail(l.install(snapshot)); err != nil {
+		return err
+	}
+	return l.fail(l.clean())
+}
+
+// clean removes snapshots before the newest and segments with nothing after
+// it. A crash in between leaves files that the next clean removes.
+func (l *Log) clean() error {
+	names, err := l.files.ReadDir(l.folder)
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	for _, index := range numbers(names, snapshotIndex) {
+		if index < l.newest {
+			if err := l.files.Remove(filepath.Join(l.folder, snapshotName(index))); err != nil {
+				return fmt.Errorf("remove snapshot: %w", err)
+			}
+		}
+	}
+	for len(l.closed) > 0 && l.closed[0].last <= l.newest {
+		path := filepath.Join(l.folder, segmentName(l.closed[0].number))
+		if err := l.files.Remove(path); err != nil {
+			return fmt.Errorf("remove segment: %w", err)
+		}
+		l.bytes.Add(-l.closed[0].size)
+		l.closed = l.closed[1:]
+	}
+	if err := l.files.SyncDir(l.folder); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
+
+// rotate closes the active segment and starts the next one.
+func (l *Log) rotate() error {
+	number := uint64(1)
+	if n := len(l.closed); n > 0 {
+		number = l.closed[n-1].number + 1
+	}
+	if l.active != nil {
+		if err := l.active.file.Close(); err != nil {
+			return fmt.Errorf("close segment: %w", err)
+		}
+		l.closed = append(l.closed, closedSegment{number: l.active.number, last: l.active.last, size: l.active.size})
+		number = l.active.number + 1
+	}
+	next, err := createSegment(l.files, l.folder, number, l.hard)
+	if err != nil {
+		return err
+	}
+	l.active = next
+	l.bytes.Add(next.size)
+	return nil
+}
+
+func (l *Log) fail(err error) error {
+	if err != nil {
+		l.failed = fmt.Errorf("%w: %w", ErrFailed, err)
+		return l.failed
+	}
+	return nil
+}
+
+// Bytes returns the size of the segments on the disk. It is safe for concurrent
+// use.
+func (l *Log) Bytes() int64 { return l.bytes.Load() }
+
+// Close closes the log and unlocks the folder.
+func (l *Log) Close() error {
+	return errors.Join(l.active.file.Close(), l.lock.Close())
+}
--- /dev/null
+++ b/internal/control/wal/segment.go
@@ -0,0 +1,127 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"wigeonbay/internal/control/replica"
+)
+
+// batch is the payload of a frame: what one group commit makes last. The first
+// frame of a segment carries the hard state, so that older segments can go.
+type batch struct {
+	HardState *replica.HardState
+	Records   []record
+}
+
+// record is either an entry or a reset of the log to a snapshot.
+type record struct {
+	Entry *replica.Entry
+	// ResetTo empties the log: a snapshot of this index replaces it.
+	ResetTo uint64
+}
+
+// segment is the file that is written to now.
+type segment struct {
+	number uint64
+	file   File
+	size   int64
+	// frames is the number of the next frame.
+	frames uint64
+	// last is the highest index of an entry in the segment.
+	last uint64
+}
+
+// createSegment starts a segment whose first frame holds the hard state. It
+// lasts when createSegment returns.
+func createSegment(files FS, folder string, number uint64, hard replica.HardState) (*segment, error) {
+	path := filepath.Join(folder, segmentName(number))
+	file, err := files.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("create segment: %w", err)
+	}
+	seg := &segment{number: number, file: file}
+	if err := seg.write(batch{HardState: &hard}); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	if err := files.SyncDir(folder); err != nil {
+		return nil, errors.Join(fmt.Errorf("sync data folder: %w", err), file.Close())
+	}
+	return seg, nil
+}
+
+// write appends one frame and syncs it.
+func (s *segment) write(b batch) error {
+	payload, err := msgpack.Marshal(&b)
+	if err != nil {
+		return fmt.Errorf("encode batch: %w", err)
+	}
+	if len(payload) > maxFrameBytes {
+		return fmt.Errorf("batch of %d bytes is over the limit of %d", len(payload), maxFrameBytes)
+	}
+	data := appendFrame(nil, s.frames, payload)
+	if _, err := s.file.Write(data); err != nil {
+		return fmt.Errorf("write segment: %w", err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return fmt.Errorf("sync segment: %w", err)
+	}
+	s.frames++
+	s.size += int64(len(data))
+	for _, r := range b.Records {
+		if r.Entry != nil {
+			s.last = max(s.last, r.Entry.Index)
+		}
+	}
+	return nil
+}
+
+// contents is what a segment was found to hold.
+type contents struct {
+	batches []batch
+	// size is where the valid frames end; torn tells that more follows.
+	size int64
+	torn bool
+	last uint64
+}
+
+// readSegment reads a segment. Only the newest segment may have a torn tail.
+func readSegment(files FS, folder string, number uint64, newest bool) (contents, error) {
+	name := segmentName(number)
+	data, err := files.ReadFile(filepath.Join(folder, name))
+	if err != nil {
+		return contents{}, fmt.Errorf("read segment: %w", err)
+	}
+	var out contents
+	for frame := uint64(0); int(out.size) < len(data); frame++ {
+		rest := data[out.size:]
+		payload, size, ok := readFrame(rest, frame)
+		if !ok {
+			if !newest || laterFrame(rest, frame) {
+				detail := fmt.Sprintf("%s is damaged at byte %d, before its end", name, out.size)
+				return contents{}, &FolderError{folder, detail}
+			}
+			out.torn = true
+			return out, nil
+		}
+		var b batch
+		if err := msgpack.Unmarshal(payload, &b); err != nil {
+			return contents{}, &FolderError{folder, fmt.Sprintf("%s: frame %d: %v", name, frame, err)}
+		}
+		out.add(b)
+		out.size += int64(size)
+	}
+	return out, nil
+}
+
+func (c *contents) add(b batch) {
+	c.batches = append(c.batches, b)
+	for _, r := range b.Records {
+		if r.Entry != nil {
+			c.last = max(c.last, r.Entry.Index)
+		}
+	}
+}
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -4,9 +4,19 @@
 
 // Events of the control part, 2xxx.
 var (
-	ControlStarted = Event{2001, zapcore.InfoLevel, "started", "The process listens on its addresses."}
-	ControlStopped = Event{2002, zapcore.InfoLevel, "stopped", "The process has finished its shutdown."}
+	ControlStarted     = Event{2001, zapcore.InfoLevel, "started", "The process listens on its addresses."}
+	ControlStopped     = Event{2002, zapcore.InfoLevel, "stopped", "The process has finished its shutdown."}
+	ControlRecovered   = Event{2003, zapcore.InfoLevel, "data folder opened", "Fresh means that the folder was empty and the replica has a new incarnation; after a lost disk, run wigeonctl replace. A torn tail was never acknowledged and needs nothing."}
+	ControlRole        = Event{2004, zapcore.InfoLevel, "role or leader changed", "The replica follows another leader, leads, or knows no leader. Often repeated: look for a cut between the control VMs."}
+	ControlFailed      = Event{2005, zapcore.ErrorLevel, "stopped by a failure", "The process can't go on, for example after a failed sync. It ends; check the disk before starting it again."}
+	ControlFounded     = Event{2006, zapcore.InfoLevel, "group founded", "Every first member held nothing and the replica has founded the group."}
+	ControlGroupExists = Event{2007, zapcore.WarnLevel, "group exists already", "The replica holds nothing, but another member holds the group. If it is a first start, the leader brings it up to date; after a lost disk, run wigeonctl replace."}
+	ControlMembership  = Event{2008, zapcore.InfoLevel, "membership change committed", "One step of a replacement is in force."}
+	ControlRepaired    = Event{2009, zapcore.InfoLevel, "replica repaired", "The replacement holds everything committed and votes."}
 )
 
 // ControlEvents lists the events of this file, for the catalogue.
-var ControlEvents = []Event{ControlStarted, ControlStopped}
+var ControlEvents = []Event{
+	ControlStarted, ControlStopped, ControlRecovered, ControlRole, ControlFailed,
+	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired,
+}
