Test replication under random events: a restarted replica misjudges its age

Cause: nothing drove the step function through crashes, cuts, lost disks and membership changes. The new walks check one leader a term, log matching, leader completeness, reads and each replica's claim of how current it is. The leader returns a time that c's process had sent before its restart, and c reads it on its new clock. Also changed: a leader counts itself current only with its commit index applied.

--- /dev/null
+++ b/internal/control/replica/random_test.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fixedSeed makes the property tests repeat the same runs everywhere.
+const fixedSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := flag.Set("rapid.seed", fixedSeed); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// act does one random thing. The weights favour what makes progress.
+func (sim *simulation) act() {
+	node := sim.nodes[sim.ids[sim.choose("node", len(sim.ids))]]
+	switch what := sim.choose("act", 100); {
+	case what < 45:
+		if len(sim.net) > 0 {
+			sim.deliver(sim.choose("message", len(sim.net)), sim.choose("repeat", 20) == 0)
+		}
+	case what < 60:
+		sim.sync(node, 1+sim.choose("writes", 3))
+	case what < 76:
+		sim.now += simHeartbeat / 2
+		sim.tick(node, float64(sim.choose("jitter", 10))/10)
+	case what < 84:
+		sim.propose(node)
+	case what < 87:
+		sim.read(node)
+	case what < 89:
+		if len(sim.net) > 0 {
+			sim.net = append([]Message(nil), sim.net[sim.choose("drop", len(sim.net)):]...)
+		}
+	case what < 91:
+		sim.snapshot(node)
+	case what < 93:
+		sim.cut[node.id] = !sim.cut[node.id]
+	case what < 95:
+		if node.state == nil {
+			sim.start(node)
+		} else {
+			sim.crash(node, sim.choose("survive", 3))
+		}
+	case what < 96:
+		sim.loseDisk(node)
+	case what < 97:
+		// A long silence, after which the clock has jumped for everyone.
+		sim.now += 5 * simElection
+	default:
+		sim.change()
+	}
+}
+
+func (sim *simulation) propose(node *simNode) {
+	if sim.choose("through the leader", 4) > 0 && sim.leader() != nil {
+		node = sim.leader()
+	}
+	sim.nextID++
+	data := []byte(fmt.Sprint(sim.nextID))
+	sim.step(node, Propose{Proposals: []Proposal{{ID: sim.nextID, Data: data}}})
+}
+
+func (sim *simulation) read(node *simNode) {
+	if node.state == nil {
+		return
+	}
+	sim.nextID++
+	sim.reads[sim.nextID] = sim.maxAcked()
+	sim.step(node, Read{ID: sim.nextID})
+}
+
+func (sim *simulation) snapshot(node *simNode) {
+	if node.state == nil || node.state.applied <= node.durable.Snapshot.Index {
+		return
+	}
+	index := node.state.applied
+	term, _ := node.state.TermAt(index)
+	node.install(SnapshotMeta{Index: index, Term: term, Membership: node.state.MembershipAt(index)}, false)
+	sim.step(node, SnapshotSaved{Index: index, KeepFrom: index - min(index, uint64(sim.choose("tail", 3)))})
+}
+
+// change asks the leader for a random step of a membership change.
+func (sim *simulation) change() {
+	lead := sim.leader()
+	if lead == nil {
+		return
+	}
+	target := sim.nodes[sim.ids[sim.choose("target", len(sim.ids))]]
+	var step Change
+	switch sim.choose("change", 3) {
+	case 0:
+		step = AddLearner{Member{Identity: target.identity()}}
+	case 1:
+		step = Promote{target.identity()}
+	default:
+		gone := lead.state.members.Members
+		step = Remove{gone[sim.choose("gone", len(gone))].Identity}
+	}
+	sim.nextID++
+	sim.step(lead, ChangeMembers{ID: sim.nextID, Change: step})
+}
+
+func TestSafetyUnderRandomEvents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newSimulation("a", "b", "c")
+		sim.addNode("d")
+		sim.fail = rt.Fatalf
+		sim.choose = func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
+		sim.settle(60)
+		for range rapid.IntRange(10, 300).Draw(rt, "steps") {
+			sim.act()
+		}
+	})
+}
+
+// TestSafetyUnderLongWalks goes deeper than the property test can: walks of
+// thousands of events, after which the group must settle with nothing lost.
+func TestSafetyUnderLongWalks(t *testing.T) {
+	const walks, steps = 60, 4000
+	total := map[string]int{}
+	for seed := range uint64(walks) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		sim := newSimulation("a", "b", "c")
+		sim.addNode("d")
+		sim.addNode("e")
+		sim.fail = func(format string, args ...any) {
+			t.Helper()
+			t.Fatalf("seed %d: %s", seed, fmt.Sprintf(format, args...))
+		}
+		sim.choose = func(_ string, n int) int { return random.IntN(n) }
+		sim.settle(60)
+		for range steps {
+			sim.act()
+		}
+		sim.settle(400)
+		sim.mustServe(t, seed)
+		for what, count := range sim.events {
+			total[what] += count
+		}
+	}
+	t.Logf("%d walks of %d events: %v", walks, steps, total)
+	for _, what := range []string{"commit", "leader", "membership", "lost disk", "read", "snapshot"} {
+		assert.Assert(t, total[what] > walks, "the walks saw too little of %q: %v", what, total)
+	}
+}
+
+// mustServe checks that a settled group has a leader that commits, and that
+// every voter holds every committed entry.
+func (sim *simulation) mustServe(t *testing.T, seed uint64) {
+	lead := sim.leader()
+	assert.Assert(t, lead != nil, "seed %d: no leader after settling", seed)
+	before := sim.maxAcked()
+	sim.step(lead, Propose{Proposals: []Proposal{{ID: 1 << 60, Data: []byte("last")}}})
+	for round := range 40 {
+		sim.quiet(round)
+	}
+	assert.Assert(t, sim.maxAcked() > before, "seed %d: the settled group commits nothing", seed)
+	for _, id := range lead.state.members.Voters() {
+		node := sim.nodes[id.ID]
+		if node.identity() != id {
+			continue // its disk was lost and it has not been replaced
+		}
+		assert.Assert(t, node.state.applied >= sim.maxAcked(), "seed %d: %s has applied %d of %d", seed, id.ID, node.state.applied, sim.maxAcked())
+	}
+}
--- /dev/null
+++ b/internal/control/replica/sim_test.go
@@ -0,0 +1,389 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// simulation runs replicas over a fake network and fake disks. It decides
+// nothing itself: choose picks what happens next, so that a property test or a
+// seeded walk drives it. Every broken safety rule is reported through fail.
+type simulation struct {
+	choose func(label string, n int) int
+	fail   func(format string, args ...any)
+
+	now    time.Duration
+	nodes  map[string]*simNode
+	ids    []string
+	net    []Message
+	cut    map[string]bool
+	nextID uint64
+
+	// leaders, committed and commitTerm record what must never change.
+	leaders    map[uint64]Identity
+	committed  map[uint64]Entry
+	commitTerm map[uint64]uint64
+	acked      []ackedAt
+	reads      map[uint64]uint64
+	lost       map[Identity]bool
+	events     map[string]int
+}
+
+type ackedAt struct {
+	at    time.Duration
+	index uint64
+}
+
+type simNode struct {
+	id      string
+	lives   int
+	born    time.Duration
+	state   *State // nil while it is down
+	durable Restored
+	pending []Persist
+	wasLead uint64
+}
+
+const (
+	simHeartbeat = 10 * time.Millisecond
+	simElection  = 100 * time.Millisecond
+)
+
+func newSimulation(ids ...string) *simulation {
+	sim := &simulation{
+		nodes:      map[string]*simNode{},
+		cut:        map[string]bool{},
+		leaders:    map[uint64]Identity{},
+		committed:  map[uint64]Entry{},
+		commitTerm: map[uint64]uint64{},
+		reads:      map[uint64]uint64{},
+		lost:       map[Identity]bool{},
+		events:     map[string]int{},
+	}
+	members := Membership{Group: "g"}
+	for _, id := range ids {
+		sim.addNode(id)
+		members.Members = append(members.Members, Member{Identity: sim.nodes[id].identity(), Voter: true})
+	}
+	sim.step(sim.nodes[ids[0]], Found{Membership: members})
+	return sim
+}
+
+func (sim *simulation) addNode(id string) *simNode {
+	node := &simNode{id: id, lives: 1}
+	sim.ids = append(sim.ids, id)
+	sim.nodes[id] = node
+	sim.start(node)
+	return node
+}
+
+func (n *simNode) identity() Identity {
+	return Identity{ID: n.id, Incarnation: fmt.Sprintf("%s%d", n.id, n.lives)}
+}
+
+func (sim *simulation) start(node *simNode) {
+	node.born = sim.now
+	node.wasLead = 0
+	disk := node.durable
+	disk.Entries = slices.Clone(disk.Entries)
+	cfg := Config{
+		Self: node.identity(), Heartbeat: simHeartbeat, ElectionTimeout: simElection,
+		MaxBatchEntries: 3, MaxBatchBytes: 1 << 10, MaxInflight: 2,
+	}
+	node.state = New(cfg, disk)
+}
+
+// crash stops a node; some of what it had not synced may be on the disk.
+func (sim *simulation) crash(node *simNode, survives int) {
+	for _, write := range node.pending[:min(survives, len(node.pending))] {
+		node.write(write)
+	}
+	node.pending = nil
+	node.state = nil
+}
+
+func (n *simNode) write(w Persist) {
+	if w.HardState != nil {
+		n.durable.HardState = *w.HardState
+	}
+	if w.Snapshot != nil {
+		n.install(w.Snapshot.Meta, w.ResetLog)
+	}
+	if len(w.Entries) == 0 {
+		return
+	}
+	base := n.durable.Snapshot.Index
+	keep := int(w.Entries[0].Index - base - 1)
+	n.durable.Entries = append(slices.Clone(n.durable.Entries[:keep]), w.Entries...)
+}
+
+func (n *simNode) install(meta SnapshotMeta, reset bool) {
+	drop := min(int(meta.Index-n.durable.Snapshot.Index), len(n.durable.Entries))
+	n.durable.Entries = n.durable.Entries[drop:]
+	if reset {
+		n.durable.Entries = nil
+	}
+	n.durable.Snapshot = meta
+}
+
+// sync makes the first writes last and reports it.
+func (sim *simulation) sync(node *simNode, count int) {
+	count = min(count, len(node.pending))
+	if count == 0 {
+		return
+	}
+	for _, write := range node.pending[:count] {
+		node.write(write)
+	}
+	seq := node.pending[count-1].Seq
+	node.pending = slices.Clone(node.pending[count:])
+	sim.step(node, Persisted{Seq: seq})
+}
+
+func (sim *simulation) tick(node *simNode, jitter float64) {
+	sim.step(node, Tick{Now: sim.now - node.born + 1, Jitter: jitter})
+}
+
+func (sim *simulation) step(node *simNode, event Event) {
+	if node.state == nil {
+		return
+	}
+	for _, effect := range node.state.Step(event) {
+		sim.carryOut(node, effect)
+	}
+	sim.check(node)
+}
+
+func (sim *simulation) carryOut(node *simNode, effect Effect) {
+	switch e := effect.(type) {
+	case Persist:
+		node.pending = append(node.pending, e)
+	case Send:
+		sim.net = append(sim.net, e.Message)
+	case SendSnapshot:
+		e.Request.Snapshot = Snapshot{Meta: node.durable.Snapshot}
+		e.Message.Body = e.Request
+		sim.net = append(sim.net, e.Message)
+		sim.events["snapshot"]++
+	case Apply:
+		sim.applied(node, e.Entries)
+	case Restore:
+		sim.restored(node, e.Snapshot.Meta)
+	case ReadReady:
+		if node.state.applied < sim.reads[e.ID] {
+			sim.fail("%s answered read %d at %d, %d was acknowledged before", node.id, e.ID, node.state.applied, sim.reads[e.ID])
+		}
+		sim.events["read"]++
+	}
+}
+
+func (sim *simulation) applied(node *simNode, entries []Entry) {
+	for _, entry := range entries {
+		known, ok := sim.committed[entry.Index]
+		if ok && (known.Term != entry.Term || string(known.Data) != string(entry.Data)) {
+			sim.fail("%s applied %d of term %d, committed was term %d", node.id, entry.Index, entry.Term, known.Term)
+		}
+		if !ok {
+			sim.committed[entry.Index] = entry
+			sim.commitTerm[entry.Index] = node.state.hard.Term
+			sim.acked = append(sim.acked, ackedAt{sim.now, entry.Index})
+			sim.events["commit"]++
+			if entry.Kind == EntryMembership {
+				sim.events["membership"]++
+			}
+		}
+	}
+}
+
+func (sim *simulation) restored(node *simNode, meta SnapshotMeta) {
+	if known, ok := sim.committed[meta.Index]; !ok || known.Term != meta.Term {
+		sim.fail("%s restored snapshot %d of term %d, committed was %d", node.id, meta.Index, meta.Term, known.Term)
+	}
+}
+
+// check holds the safety rules of Raft (section 5) against a node's state.
+func (sim *simulation) check(node *simNode) {
+	s := node.state
+	if s.role == RoleLeader && node.wasLead != s.hard.Term {
+		node.wasLead = s.hard.Term
+		sim.electedOnce(s)
+		sim.leaderComplete(node)
+	}
+	if s.currentAt > 0 {
+		at := node.born + s.currentAt - 1
+		if known := sim.ackedBefore(at); s.applied < known {
+			sim.fail("%s calls itself current at %v with %d, %d was acknowledged", node.id, at, s.applied, known)
+		}
+	}
+	sim.logMatches(node)
+}
+
+func (sim *simulation) electedOnce(s *State) {
+	sim.events["leader"]++
+	if known, ok := sim.leaders[s.hard.Term]; ok && known != s.cfg.Self {
+		sim.fail("term %d has leaders %v and %v", s.hard.Term, known, s.cfg.Self)
+	}
+	sim.leaders[s.hard.Term] = s.cfg.Self
+}
+
+// leaderComplete checks that a leader holds what earlier terms committed.
+func (sim *simulation) leaderComplete(node *simNode) {
+	s := node.state
+	for index, entry := range sim.committed {
+		if sim.commitTerm[index] >= s.hard.Term || index <= s.log.base {
+			continue
+		}
+		if term, ok := s.log.term(index); !ok || term != entry.Term {
+			sim.fail("%s leads term %d without committed entry %d", node.id, s.hard.Term, index)
+		}
+	}
+}
+
+// logMatches checks a node's last entry against the logs of the others: equal
+// index and term mean equal logs up to there.
+func (sim *simulation) logMatches(node *simNode) {
+	index, term := node.state.log.last(), node.state.log.lastTerm()
+	for _, id := range sim.ids {
+		other := sim.nodes[id]
+		if other == node || other.state == nil {
+			continue
+		}
+		if got, ok := other.state.log.term(index); !ok || got != term {
+			continue
+		}
+		for at := max(node.state.log.base, other.state.log.base) + 1; at <= index; at++ {
+			a, _ := node.state.log.term(at)
+			b, _ := other.state.log.term(at)
+			if a != b {
+				sim.fail("%s and %s match at %d but not at %d", node.id, id, index, at)
+			}
+		}
+	}
+}
+
+func (sim *simulation) ackedBefore(at time.Duration) uint64 {
+	var index uint64
+	for _, a := range sim.acked {
+		if a.at < at {
+			index = max(index, a.index)
+		}
+	}
+	return index
+}
+
+func (sim *simulation) maxAcked() uint64 {
+	var index uint64
+	for _, a := range sim.acked {
+		index = max(index, a.index)
+	}
+	return index
+}
+
+// loseDisk empties a node's disk, unless more voters than the group tolerates
+// would then be lost under any membership that is in use.
+func (sim *simulation) loseDisk(node *simNode) {
+	sim.lost[node.identity()] = true
+	for _, members := range sim.memberships() {
+		lost := 0
+		for _, id := range members.Voters() {
+			if sim.lost[id] {
+				lost++
+			}
+		}
+		if lost > (len(members.Voters())-1)/2 {
+			delete(sim.lost, node.identity())
+			return
+		}
+	}
+	sim.events["lost disk"]++
+	node.state = nil
+	node.pending = nil
+	node.durable = Restored{}
+	node.lives++
+	sim.start(node)
+}
+
+// memberships returns those that could count majorities: the newest committed
+// one and every newer one in a log.
+func (sim *simulation) memberships() []Membership {
+	var newest uint64
+	var out []Membership
+	for index, entry := range sim.committed {
+		if entry.Kind == EntryMembership && index >= newest {
+			newest = index
+			out = []Membership{*entry.Membership}
+		}
+	}
+	for _, id := range sim.ids {
+		node := sim.nodes[id]
+		disk := New(Config{}, node.durable)
+		if disk.membersIndex >= newest && len(disk.members.Members) > 0 {
+			out = append(out, disk.members)
+		}
+		if node.state != nil && node.state.membersIndex >= newest {
+			out = append(out, node.state.members)
+		}
+	}
+	return out
+}
+
+func (sim *simulation) deliver(at int, keep bool) {
+	m := sim.net[at]
+	if !keep {
+		sim.net = slices.Delete(sim.net, at, at+1)
+	}
+	node := sim.nodes[m.To.ID]
+	if node == nil || sim.cut[m.From.ID] || sim.cut[m.To.ID] {
+		return
+	}
+	sim.step(node, Receive{Message: m})
+}
+
+// leader returns the node that leads the highest term, nil for none.
+func (sim *simulation) leader() *simNode {
+	var best *simNode
+	for _, id := range sim.ids {
+		node := sim.nodes[id]
+		if node.state == nil || node.state.role != RoleLeader {
+			continue
+		}
+		if best == nil || node.state.hard.Term > best.state.hard.Term {
+			best = node
+		}
+	}
+	return best
+}
+
+// settle runs everything without faults for a while.
+func (sim *simulation) settle(rounds int) {
+	for _, id := range sim.ids {
+		if sim.nodes[id].state == nil {
+			sim.start(sim.nodes[id])
+		}
+	}
+	clear(sim.cut)
+	for round := range rounds {
+		sim.quiet(round)
+	}
+}
+
+// quiet delivers, syncs and ticks everything once.
+func (sim *simulation) quiet(round int) {
+	sim.now += simHeartbeat / 2
+	for i, id := range sim.ids {
+		node := sim.nodes[id]
+		if node.state == nil {
+			continue
+		}
+		jitter := float64((round*7+i*13)%17) / 17
+		sim.tick(node, jitter)
+		sim.sync(node, len(node.pending))
+	}
+	for range len(sim.net) {
+		sim.deliver(0, false)
+	}
+	for _, id := range sim.ids {
+		sim.sync(sim.nodes[id], len(sim.nodes[id].pending))
+	}
+}
--- a/internal/control/replica/state.go
+++ b/internal/control/replica/state.go
@@ -133,12 +133,7 @@
 
 // CurrentAt returns the latest time, on the clock of Tick, at which the replica
 // is known to have held everything committed; 0 means never.
-func (s *State) CurrentAt() time.Duration {
-	if s.role == RoleLeader && s.committedOwnTerm() {
-		return max(s.currentAt, s.quorumSentAt())
-	}
-	return s.currentAt
-}
+func (s *State) CurrentAt() time.Duration { return s.currentAt }
 
 func (s *State) emit(effect Effect) { s.out = append(s.out, effect) }
 
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -116,9 +116,6 @@
 }
 
 func (s *State) becomeFollower(leader Identity) {
-	if s.role == RoleLeader {
-		s.currentAt = s.CurrentAt()
-	}
 	if s.role != RoleFollower || s.leader != leader {
 		s.failReads()
 	}
@@ -172,8 +169,18 @@
 		s.applied = high
 		s.emit(Apply{Entries: entries})
 	}
-	if s.pendingCurrent > s.currentAt && s.applied >= s.pendingCurrentCommit {
-		s.currentAt = s.pendingCurrent
-	}
+	s.noteOwnCurrent()
 	s.finishReads()
 }
+
+// noteOwnCurrent moves currentAt forward. What a quorum confirmed counts only
+// once the commit index of that time is applied here: a replica with a slow
+// disk else calls itself current while it serves something older.
+func (s *State) noteOwnCurrent() {
+	if s.applied >= s.pendingCurrentCommit {
+		s.currentAt = max(s.currentAt, s.pendingCurrent)
+	}
+	if s.role == RoleLeader && s.committedOwnTerm() && s.applied >= s.commit {
+		s.currentAt = max(s.currentAt, s.quorumSentAt())
+	}
+}
