Replication: mend what the random walks found

Ruled out: wall clocks across restarts; a candidate only by committed membership (the commit index is not known after a restart). Change: a random number for each start goes with times and read numbers; a voter stands until its removal is committed; an echo stays until confirmed; a silent member gets heartbeats only.

--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -127,6 +127,7 @@
 func (n *Node) config() replica.Config {
 	return replica.Config{
 		Self:            n.self,
+		Boot:            rand.Uint64(),
 		Heartbeat:       n.set.Replication.Heartbeat,
 		ElectionTimeout: n.set.Replication.ElectionTimeout,
 		MaxBatchEntries: replica.DefaultMaxBatchEntries,
--- a/internal/control/replica/elect.go
+++ b/internal/control/replica/elect.go
@@ -13,13 +13,22 @@
 	if s.leader != (Identity{}) {
 		s.becomeFollower(Identity{})
 	}
-	// Only a voter under its own incarnation may stand: a replica whose disk
-	// was lost has forgotten entries that it had acknowledged.
-	if s.members.IsVoter(s.cfg.Self) {
+	if s.mayStand() {
 		s.campaign(true)
 	}
 }
 
+// mayStand reports whether the replica is a voter under its own incarnation: one
+// whose disk was lost has forgotten entries that it had acknowledged. A voter
+// whose removal is not yet committed stands too (thesis, section 4.2.2): it may
+// be the only one that holds the entry, and nobody else could then be elected.
+func (s *State) mayStand() bool {
+	if s.members.IsVoter(s.cfg.Self) {
+		return true
+	}
+	return s.membersIndex > s.commit && s.MembershipAt(s.membersIndex-1).IsVoter(s.cfg.Self)
+}
+
 // campaign asks the voters for their votes. The pre-vote comes first and
 // raises no term: a replica back from long isolation else deposes a working
 // leader by its higher term.
--- a/internal/control/replica/follow.go
+++ b/internal/control/replica/follow.go
@@ -23,7 +23,7 @@
 }
 
 func (s *State) reply(request AppendRequest) AppendReply {
-	return AppendReply{Round: request.Round, SentAt: request.SentAt, RepliedAt: s.now}
+	return AppendReply{Round: request.Round, SentAt: request.SentAt, RepliedAt: s.now, Boot: s.cfg.Boot}
 }
 
 // heard notes a message of the term's leader.
@@ -97,7 +97,7 @@
 // noteCurrent remembers how current the leader's confirmation makes this
 // replica, once the commit index is applied.
 func (s *State) noteCurrent(request AppendRequest) {
-	if request.Current > s.pendingCurrent {
+	if request.CurrentBoot == s.cfg.Boot && request.Current > s.pendingCurrent {
 		s.pendingCurrent = request.Current
 		s.pendingCurrentCommit = request.Commit
 	}
@@ -108,7 +108,7 @@
 func (s *State) installSnapshot(m Message, request SnapshotRequest) {
 	s.heard(m.From)
 	meta := request.Snapshot.Meta
-	reply := AppendReply{Round: request.Round, SentAt: request.SentAt, RepliedAt: s.now}
+	reply := AppendReply{Round: request.Round, SentAt: request.SentAt, RepliedAt: s.now, Boot: s.cfg.Boot}
 	reply.Match = meta.Index
 	if meta.Index > s.commit {
 		s.restore(request.Snapshot)
--- /dev/null
+++ b/internal/control/replica/follow_test.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	self    = Identity{"a", "a1"}
+	peerB   = Identity{"b", "b1"}
+	peerC   = Identity{"c", "c1"}
+	testers = Membership{Group: "g", Members: []Member{
+		{Identity: self, Voter: true}, {Identity: peerB, Voter: true}, {Identity: peerC, Voter: true},
+	}}
+)
+
+// replicaWith returns replica a in term 2 with entries of the given terms after
+// the founding one.
+func replicaWith(terms ...uint64) *State {
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Membership: &testers}}
+	for i, term := range terms {
+		entries = append(entries, Entry{Index: uint64(i) + 2, Term: term, Kind: EntryCommand})
+	}
+	cfg := Config{
+		Self: self, Heartbeat: simHeartbeat, ElectionTimeout: simElection,
+		MaxBatchEntries: 10, MaxBatchBytes: 1 << 10, MaxInflight: 4,
+	}
+	return New(cfg, Restored{HardState: HardState{Term: 2}, Entries: entries})
+}
+
+func from(id Identity, term uint64, body Body) Receive {
+	return Receive{Message{Group: "g", From: id, To: self, Term: term, Body: body}}
+}
+
+func sends(effects []Effect) []Body {
+	var out []Body
+	for _, effect := range effects {
+		if send, ok := effect.(Send); ok {
+			out = append(out, send.Message.Body)
+		}
+	}
+	return out
+}
+
+func persists(effects []Effect) uint64 {
+	var seq uint64
+	for _, effect := range effects {
+		if write, ok := effect.(Persist); ok {
+			seq = write.Seq
+		}
+	}
+	return seq
+}
+
+func TestNothingIsSaidBeforeItIsSynced(t *testing.T) {
+	cases := []struct {
+		name  string
+		event Event
+		want  Body
+	}{
+		{"vote", from(peerB, 3, VoteRequest{LastIndex: 9, LastTerm: 2}), VoteReply{Granted: true}},
+		{"acknowledgement", from(peerB, 2, AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: []Entry{{Index: 3, Term: 2}}}), AppendReply{Match: 3}},
+		{"snapshot", from(peerB, 2, SnapshotRequest{Snapshot: Snapshot{Meta: SnapshotMeta{Index: 9, Term: 2, Membership: testers}}}), AppendReply{Match: 9}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := replicaWith(2)
+			effects := s.Step(c.event)
+			seq := persists(effects)
+			assert.Assert(t, seq > 0, "nothing was written")
+			assert.Equal(t, len(sends(effects)), 0, "said before the write was synced")
+			assert.DeepEqual(t, sends(s.Step(Persisted{Seq: seq})), []Body{c.want})
+		})
+	}
+}
+
+func TestCandidateAsksAndCountsItselfOnlyAfterSync(t *testing.T) {
+	s := replicaWith(2)
+	s.Step(Tick{Now: 3 * simElection})
+	effects := s.Step(from(peerB, 3, VoteReply{Pre: true, Granted: true}))
+	assert.Equal(t, s.Role(), RoleCandidate)
+	assert.Equal(t, len(sends(effects)), 0)
+	s.Step(from(peerB, 3, VoteReply{Granted: true}))
+	assert.Equal(t, s.Role(), RoleCandidate, "led on a vote for itself that was not synced")
+	s.Step(Persisted{Seq: persists(effects)})
+	assert.Equal(t, s.Role(), RoleLeader)
+}
+
+func TestVotesAndAcknowledgementsOfOthersDoNotCount(t *testing.T) {
+	cases := []struct {
+		name string
+		from Identity
+		to   Identity
+		want Role
+	}{
+		{"voter", peerB, self, RoleLeader},
+		{"earlier incarnation of a voter", Identity{"b", "b0"}, self, RoleCandidate},
+		{"no member", Identity{"x", "x1"}, self, RoleCandidate},
+		{"meant for an earlier incarnation", peerB, Identity{"a", "a0"}, RoleCandidate},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := replicaWith(2)
+			s.Step(Tick{Now: 3 * simElection})
+			seq := persists(s.Step(from(peerB, 3, VoteReply{Pre: true, Granted: true})))
+			s.Step(Persisted{Seq: seq})
+			vote := Message{Group: "g", From: c.from, To: c.to, Term: 3, Body: VoteReply{Granted: true}}
+			s.Step(Receive{vote})
+			assert.Equal(t, s.Role(), c.want)
+		})
+	}
+}
+
+func TestAppendKeepsOrReplacesEntries(t *testing.T) {
+	two := []Entry{{Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	cases := []struct {
+		name     string
+		log      []uint64
+		request  AppendRequest
+		wantLast uint64
+		want     AppendReply
+	}{
+		{"new entries", []uint64{2}, AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: two}, 4, AppendReply{Match: 4}},
+		{"delayed request cuts off nothing", []uint64{2, 2, 2}, AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: two[:1]}, 4, AppendReply{Match: 3}},
+		{"conflict is replaced", []uint64{1, 1, 1, 1}, AppendRequest{PrevIndex: 2, PrevTerm: 1, Entries: two[:1]}, 3, AppendReply{Match: 3}},
+		{"gap is refused", nil, AppendRequest{PrevIndex: 5, PrevTerm: 2}, 1, AppendReply{Rejected: true, PrevIndex: 5, Hint: 1}},
+		{"conflict before it is refused", []uint64{1, 1, 1}, AppendRequest{PrevIndex: 4, PrevTerm: 2}, 4, AppendReply{Rejected: true, PrevIndex: 4, Hint: 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := replicaWith(c.log...)
+			effects := s.Step(from(peerB, 2, c.request))
+			if seq := persists(effects); seq > 0 {
+				effects = s.Step(Persisted{Seq: seq})
+			}
+			assert.DeepEqual(t, sends(effects), []Body{c.want})
+			assert.Equal(t, s.LastIndex(), c.wantLast)
+		})
+	}
+}
+
+func TestSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	cases := []struct {
+		name     string
+		term     uint64
+		wantLast uint64
+		reset    bool
+	}{
+		{"of the same log", 2, 4, false},
+		{"of another log", 1, 3, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := replicaWith(2, 2, 2)
+			meta := SnapshotMeta{Index: 3, Term: c.term, Membership: testers}
+			effects := s.Step(from(peerB, 2, SnapshotRequest{Snapshot: Snapshot{Meta: meta}}))
+			assert.Equal(t, s.LastIndex(), c.wantLast)
+			assert.Equal(t, s.AppliedIndex(), uint64(3))
+			write := effects[0].(Persist)
+			assert.Equal(t, write.ResetLog, c.reset)
+		})
+	}
+}
+
+func TestMessagesOfAnotherFoundingAreDropped(t *testing.T) {
+	s := replicaWith(2)
+	m := Message{Group: "other", From: peerB, To: self, Term: 9, Body: VoteRequest{LastIndex: 9, LastTerm: 9}}
+	assert.Equal(t, len(s.Step(Receive{m})), 0)
+	assert.Equal(t, s.Term(), uint64(2))
+}
--- a/internal/control/replica/lead.go
+++ b/internal/control/replica/lead.go
@@ -36,9 +36,11 @@
 	round  uint64
 	sentAt time.Duration
 	heard  time.Duration
-	// echo is the member's own time in its newest reply, heard at echoHeard;
-	// current is the newest echo that a quorum has confirmed since.
+	// echo is the member's own time in one of its replies, heard at echoHeard.
+	// It stays until a quorum confirms it and it becomes current: newer ones
+	// would else take its place before any is confirmed.
 	echo      time.Duration
+	boot      uint64
 	echoHeard time.Duration
 	current   time.Duration
 }
@@ -145,12 +147,15 @@
 }
 
 // replicate sends what the member lacks, as far as its window allows, and
-// reports whether it sent anything.
+// reports whether it sent anything. A silent member gets heartbeats only: else
+// a lost one costs a batch or a whole snapshot with each heartbeat.
 func (s *State) replicate(id Identity, p *progress) bool {
 	sent := false
-	for p.next <= s.log.last() && !p.paused && !p.snapshotting && len(p.inflight) < s.cfg.MaxInflight {
+	for s.mayReceive(p) && p.next <= s.log.last() {
 		if p.next <= s.log.base {
-			s.sendSnapshot(id, p)
+			if s.heardLately(id) {
+				s.sendSnapshot(id, p)
+			}
 			return sent
 		}
 		entries := s.log.from(p.next, s.cfg.MaxBatchEntries, s.cfg.MaxBatchBytes)
@@ -167,16 +172,25 @@
 	return sent
 }
 
+// mayReceive reports whether a member may be sent entries now.
+func (s *State) mayReceive(p *progress) bool {
+	if p.paused || p.snapshotting || len(p.inflight) >= s.cfg.MaxInflight {
+		return false
+	}
+	return s.now-p.heard <= s.cfg.ElectionTimeout
+}
+
 func (s *State) sendAppend(id Identity, p *progress, prev uint64, entries []Entry) {
 	term, _ := s.log.term(prev)
 	request := AppendRequest{
-		PrevIndex: prev,
-		PrevTerm:  term,
-		Entries:   entries,
-		Commit:    s.commit,
-		Round:     s.lead.round,
-		SentAt:    s.now,
-		Current:   p.current,
+		PrevIndex:   prev,
+		PrevTerm:    term,
+		Entries:     entries,
+		Commit:      s.commit,
+		Round:       s.lead.round,
+		SentAt:      s.now,
+		Current:     p.current,
+		CurrentBoot: p.boot,
 	}
 	s.send(id, request)
 }
@@ -241,10 +255,7 @@
 	p.heard = s.now
 	p.round = max(p.round, reply.Round)
 	p.sentAt = max(p.sentAt, reply.SentAt)
-	if reply.RepliedAt > p.echo {
-		p.echo = reply.RepliedAt
-		p.echoHeard = s.now
-	}
+	p.hear(reply, s.now)
 	if reply.Rejected {
 		s.rejected(p, reply)
 	} else {
@@ -264,6 +275,20 @@
 	}
 }
 
+// hear takes the member's own time. After a restart of the member its clock
+// begins anew: earlier times would count as later ones.
+func (p *progress) hear(reply AppendReply, now time.Duration) {
+	if reply.Boot != p.boot {
+		p.boot = reply.Boot
+		p.echo = 0
+		p.current = 0
+	}
+	if p.echo <= p.current && reply.RepliedAt > p.current {
+		p.echo = reply.RepliedAt
+		p.echoHeard = now
+	}
+}
+
 // rejected steps back towards the last index at which the logs match. A reply
 // that is older than what is known is ignored.
 func (s *State) rejected(p *progress, reply AppendReply) {
@@ -279,6 +304,7 @@
 		return
 	}
 	p.match = max(p.match, match)
+	p.snapshotting = p.snapshotting && p.match < s.log.base
 	p.next = max(p.next, p.match+1)
 	p.inflight = slices.DeleteFunc(p.inflight, func(last uint64) bool { return last <= p.match })
 	if p.probing && p.match >= p.next-1 {
--- a/internal/control/replica/message.go
+++ b/internal/control/replica/message.go
@@ -43,8 +43,10 @@
 	// SentAt is the leader's time of sending; the reply returns it.
 	SentAt time.Duration
 	// Current is the newest of the receiver's own times (AppendReply.RepliedAt)
-	// at or after which a quorum confirmed the leader; 0 for none.
-	Current time.Duration
+	// at or after which a quorum confirmed the leader; 0 for none. It holds for
+	// the receiver's start CurrentBoot.
+	Current     time.Duration
+	CurrentBoot uint64
 }
 
 // AppendReply answers an AppendRequest or a SnapshotRequest.
@@ -59,8 +61,10 @@
 	Match  uint64
 	Round  uint64
 	SentAt time.Duration
-	// RepliedAt is the sender's own time; the leader returns it in Current.
+	// RepliedAt is the sender's own time since its start Boot; the leader
+	// returns both.
 	RepliedAt time.Duration
+	Boot      uint64
 }
 
 // SnapshotRequest carries a whole snapshot to a member that lags behind the
@@ -73,12 +77,14 @@
 
 // ReadRequest asks the leader to confirm a read for the sender.
 type ReadRequest struct {
-	ID uint64
+	ID   uint64
+	Boot uint64
 }
 
 // ReadReply answers a ReadRequest: the read is current once Index is applied.
 type ReadReply struct {
 	ID    uint64
+	Boot  uint64
 	OK    bool
 	Index uint64
 }
--- a/internal/control/replica/random_test.go
+++ b/internal/control/replica/random_test.go
@@ -28,40 +28,56 @@
 func (sim *simulation) act() {
 	node := sim.nodes[sim.ids[sim.choose("node", len(sim.ids))]]
 	switch what := sim.choose("act", 100); {
-	case what < 45:
+	case what < 40:
 		if len(sim.net) > 0 {
 			sim.deliver(sim.choose("message", len(sim.net)), sim.choose("repeat", 20) == 0)
 		}
-	case what < 60:
+	case what < 55:
 		sim.sync(node, 1+sim.choose("writes", 3))
-	case what < 76:
+	case what < 67:
 		sim.now += simHeartbeat / 2
 		sim.tick(node, float64(sim.choose("jitter", 10))/10)
-	case what < 84:
+	case what < 75:
 		sim.propose(node)
-	case what < 87:
+	case what < 80:
 		sim.read(node)
-	case what < 89:
+	case what < 90:
+		sim.quiet(sim.choose("round", 17))
+	case what < 91:
 		if len(sim.net) > 0 {
 			sim.net = append([]Message(nil), sim.net[sim.choose("drop", len(sim.net)):]...)
 		}
-	case what < 91:
-		sim.snapshot(node)
 	case what < 93:
-		sim.cut[node.id] = !sim.cut[node.id]
+		sim.snapshot(node)
 	case what < 95:
-		if node.state == nil {
-			sim.start(node)
-		} else {
-			sim.crash(node, sim.choose("survive", 3))
-		}
-	case what < 96:
-		sim.loseDisk(node)
+		sim.faultOn(node)
 	case what < 97:
+		sim.change()
+	default:
+		sim.recoverFrom(node)
+	}
+}
+
+// faultOn breaks something about a node.
+func (sim *simulation) faultOn(node *simNode) {
+	switch sim.choose("fault", 6) {
+	case 0, 1:
+		sim.cut[node.id] = true
+	case 2, 3:
+		sim.crash(node, sim.choose("survive", 3))
+	case 4:
+		sim.loseDisk(node)
+	default:
 		// A long silence, after which the clock has jumped for everyone.
 		sim.now += 5 * simElection
-	default:
-		sim.change()
+	}
+}
+
+// recoverFrom mends what faultOn broke, but for a lost disk.
+func (sim *simulation) recoverFrom(node *simNode) {
+	delete(sim.cut, node.id)
+	if node.state == nil {
+		sim.start(node)
 	}
 }
 
@@ -88,6 +104,9 @@
 		return
 	}
 	index := node.state.applied
+	if node.state.disk.stable < index {
+		return // a snapshot waits its turn behind earlier writes
+	}
 	term, _ := node.state.TermAt(index)
 	node.install(SnapshotMeta{Index: index, Term: term, Membership: node.state.MembershipAt(index)}, false)
 	sim.step(node, SnapshotSaved{Index: index, KeepFrom: index - min(index, uint64(sim.choose("tail", 3)))})
@@ -108,7 +127,14 @@
 		step = Promote{target.identity()}
 	default:
 		gone := lead.state.members.Members
-		step = Remove{gone[sim.choose("gone", len(gone))].Identity}
+		id := gone[sim.choose("gone", len(gone))].Identity
+		// The leader can't know of a disk lost a moment ago. An operator who
+		// takes out a healthy voter just then stops the group for good, by
+		// rights; Replace therefore promotes before it removes a live voter.
+		if sim.tooManyLost(lead.state.members.without(id)) {
+			return
+		}
+		step = Remove{id}
 	}
 	sim.nextID++
 	sim.step(lead, ChangeMembers{ID: sim.nextID, Change: step})
@@ -162,13 +188,13 @@
 // every voter holds every committed entry.
 func (sim *simulation) mustServe(t *testing.T, seed uint64) {
 	lead := sim.leader()
-	assert.Assert(t, lead != nil, "seed %d: no leader after settling", seed)
+	assert.Assert(t, lead != nil, "seed %d: no leader after settling:%s", seed, sim.describe())
 	before := sim.maxAcked()
 	sim.step(lead, Propose{Proposals: []Proposal{{ID: 1 << 60, Data: []byte("last")}}})
 	for round := range 40 {
 		sim.quiet(round)
 	}
-	assert.Assert(t, sim.maxAcked() > before, "seed %d: the settled group commits nothing", seed)
+	assert.Assert(t, sim.maxAcked() > before, "seed %d: the settled group commits nothing:%s", seed, sim.describe())
 	for _, id := range lead.state.members.Voters() {
 		node := sim.nodes[id.ID]
 		if node.identity() != id {
--- a/internal/control/replica/read.go
+++ b/internal/control/replica/read.go
@@ -8,6 +8,8 @@
 	id uint64
 	// from is the follower that asked, zero for this replica itself.
 	from Identity
+	// boot is the follower's start.
+	boot uint64
 	// round is the leader's round that must be confirmed; 0 when the read
 	// awaits the leader's reply or the first commit of the term.
 	round     uint64
@@ -26,16 +28,16 @@
 		s.emit(ReadFailed{ID: id})
 	default:
 		s.reads = append(s.reads, pendingRead{id: id, asked: s.now})
-		s.send(s.leader, ReadRequest{ID: id})
+		s.send(s.leader, ReadRequest{ID: id, Boot: s.cfg.Boot})
 	}
 }
 
 func (s *State) readRequest(m Message, request ReadRequest) {
 	if s.role != RoleLeader {
-		s.send(m.From, ReadReply{ID: request.ID})
+		s.send(m.From, ReadReply{ID: request.ID, Boot: request.Boot})
 		return
 	}
-	s.startRead(pendingRead{id: request.ID, from: m.From, asked: s.now})
+	s.startRead(pendingRead{id: request.ID, from: m.From, boot: request.Boot, asked: s.now})
 }
 
 // startRead begins a round for the read, or holds it until the leader knows
@@ -51,6 +53,9 @@
 
 // readReply takes the leader's confirmation at a follower.
 func (s *State) readReply(m Message, reply ReadReply) {
+	if reply.Boot != s.cfg.Boot {
+		return
+	}
 	for i := range s.reads {
 		r := &s.reads[i]
 		if r.id != reply.ID || !r.from.IsZero() || m.From != s.leader {
@@ -77,7 +82,7 @@
 	for _, r := range s.reads {
 		switch {
 		case r.confirmed && !r.from.IsZero():
-			s.send(r.from, ReadReply{ID: r.id, OK: true, Index: r.index})
+			s.send(r.from, ReadReply{ID: r.id, Boot: r.boot, OK: true, Index: r.index})
 		case r.confirmed && s.applied >= r.index:
 			s.emit(ReadReady{ID: r.id})
 		default:
@@ -143,5 +148,5 @@
 		s.emit(ReadFailed{ID: r.id})
 		return
 	}
-	s.send(r.from, ReadReply{ID: r.id})
+	s.send(r.from, ReadReply{ID: r.id, Boot: r.boot})
 }
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -38,10 +39,13 @@
 type simNode struct {
 	id      string
 	lives   int
+	boots   uint64
 	born    time.Duration
 	state   *State // nil while it is down
 	durable Restored
 	pending []Persist
+	// sending holds the members to which a snapshot is on its way.
+	sending []Identity
 	wasLead uint64
 }
 
@@ -84,11 +88,13 @@
 
 func (sim *simulation) start(node *simNode) {
 	node.born = sim.now
+	node.boots++
 	node.wasLead = 0
+	node.sending = nil
 	disk := node.durable
 	disk.Entries = slices.Clone(disk.Entries)
 	cfg := Config{
-		Self: node.identity(), Heartbeat: simHeartbeat, ElectionTimeout: simElection,
+		Self: node.identity(), Boot: node.boots, Heartbeat: simHeartbeat, ElectionTimeout: simElection,
 		MaxBatchEntries: 3, MaxBatchBytes: 1 << 10, MaxInflight: 2,
 	}
 	node.state = New(cfg, disk)
@@ -165,6 +171,7 @@
 		e.Request.Snapshot = Snapshot{Meta: node.durable.Snapshot}
 		e.Message.Body = e.Request
 		sim.net = append(sim.net, e.Message)
+		node.sending = append(node.sending, e.Message.To)
 		sim.events["snapshot"]++
 	case Apply:
 		sim.applied(node, e.Entries)
@@ -285,13 +292,7 @@
 func (sim *simulation) loseDisk(node *simNode) {
 	sim.lost[node.identity()] = true
 	for _, members := range sim.memberships() {
-		lost := 0
-		for _, id := range members.Voters() {
-			if sim.lost[id] {
-				lost++
-			}
-		}
-		if lost > (len(members.Voters())-1)/2 {
+		if sim.tooManyLost(members) {
 			delete(sim.lost, node.identity())
 			return
 		}
@@ -304,6 +305,17 @@
 	sim.start(node)
 }
 
+// tooManyLost reports whether fewer than a quorum of voters kept their disks.
+func (sim *simulation) tooManyLost(members Membership) bool {
+	lost := 0
+	for _, id := range members.Voters() {
+		if sim.lost[id] {
+			lost++
+		}
+	}
+	return lost > (len(members.Voters())-1)/2
+}
+
 // memberships returns those that could count majorities: the newest committed
 // one and every newer one in a log.
 func (sim *simulation) memberships() []Membership {
@@ -379,6 +391,10 @@
 		jitter := float64((round*7+i*13)%17) / 17
 		sim.tick(node, jitter)
 		sim.sync(node, len(node.pending))
+		for _, to := range node.sending {
+			sim.step(node, SnapshotSent{To: to})
+		}
+		node.sending = nil
 	}
 	for range len(sim.net) {
 		sim.deliver(0, false)
@@ -387,3 +403,19 @@
 		sim.sync(sim.nodes[id], len(sim.nodes[id].pending))
 	}
 }
+
+// describe returns each node's state for a failed check.
+func (sim *simulation) describe() string {
+	var out strings.Builder
+	for _, id := range sim.ids {
+		node := sim.nodes[id]
+		if node.state == nil {
+			fmt.Fprintf(&out, "\n%s is down", id)
+			continue
+		}
+		s := node.state
+		fmt.Fprintf(&out, "\n%v %v term %d vote %v leader %v log %d..%d/%d commit %d applied %d members %v at %d",
+			node.identity(), s.role, s.hard.Term, s.hard.Vote, s.leader, s.log.base, s.log.last(), s.log.lastTerm(), s.commit, s.applied, s.members.Members, s.membersIndex)
+	}
+	return out.String()
+}
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -104,7 +104,7 @@
 	case VoteRequest:
 		s.sendSynced(m.From, VoteReply{})
 	case ReadRequest:
-		s.send(m.From, ReadReply{ID: body.ID})
+		s.send(m.From, ReadReply{ID: body.ID, Boot: body.Boot})
 	}
 }
 
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -144,6 +144,9 @@
 // Config holds the constants of one replica.
 type Config struct {
 	Self Identity
+	// Boot is a random number of this start of the process. Times and read
+	// numbers of an earlier start mean nothing on this one's clock.
+	Boot uint64
 	// Heartbeat is the interval between a leader's messages to each member.
 	Heartbeat time.Duration
 	// ElectionTimeout is how long a follower waits for a leader, before
