--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -91,7 +91,6 @@
 		stop:     stop,
 	}
 	n.ledger = newLedgerClient(config, n.client)
-	n.peers = newPeers(n)
 	return n, nil
 }
 
@@ -174,6 +173,7 @@
 	}
 	n.address = callers.Addr().String()
 	n.rpc = wire.NewServer()
+	n.peers = newPeers(n, rpc.Addr().String())
 	if err := n.peers.register(n.rpc); err != nil {
 		return err
 	}
--- a/internal/entry/driver/peers.go
+++ b/internal/entry/driver/peers.go
@@ -26,11 +26,12 @@
 	config *configsync.Service
 }
 
-func newPeers(n *Node) *peers {
+// newPeers returns the node's link to its peers, which reach it at address.
+func newPeers(n *Node, address string) *peers {
 	p := &peers{node: n}
 	p.membership = membership.New(membership.Config{
 		ID:          n.settings.Node.ID,
-		Address:     n.settings.Listen.Peers,
+		Address:     address,
 		DataCentre:  n.settings.Node.DataCentre,
 		Region:      n.settings.Node.Region,
 		Incarnation: uint64(time.Now().UnixNano()),
