--- a/internal/control/wal/recover.go
+++ b/internal/control/wal/recover.go
@@ -108,7 +108,7 @@
 	l.closed = append(l.closed, closedSegment{number: number, last: found.last, size: found.size})
 	l.bytes.Add(found.size)
 	if found.torn {
-		l.torn = &tornTail{number: number, size: found.size, empty: len(found.batches) == 0}
+		l.torn = &tornTail{number: number, size: found.size}
 	}
 	return nil
 }
@@ -116,8 +116,6 @@
 type tornTail struct {
 	number uint64
 	size   int64
-	// empty tells that not even the segment's first frame was synced.
-	empty bool
 }
 
 // mend cuts off a torn tail and removes temporary files. It runs only when
@@ -134,13 +132,6 @@
 		return nil
 	}
 	path := filepath.Join(l.folder, segmentName(l.torn.number))
-	if l.torn.empty {
-		l.closed = l.closed[:len(l.closed)-1]
-		if err := l.files.Remove(path); err != nil {
-			return fmt.Errorf("remove torn segment: %w", err)
-		}
-		return l.files.SyncDir(l.folder)
-	}
 	if err := l.files.Truncate(path, l.torn.size); err != nil {
 		return fmt.Errorf("cut torn tail: %w", err)
 	}
