--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -1,153 +1,141 @@
-// Package machine is the state machine of the control group: what the
-// committed log makes of tickets and claims.
+// Package machine is the deterministic state machine of the control group: it
+// joins the rules for tickets and for at-most-once claims and applies the
+// committed commands of the replicated log. The same commands give the same
+// state and the same results on every replica; time comes only from the
+// commands.
 package machine
 
 import (
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/clusterconfig"
+	"wigeonbay/internal/control/ledger"
+	"wigeonbay/internal/control/tickets"
 	"wigeonbay/internal/controlrpc"
 )
 
-// Kind tells what a command does.
-type Kind uint8
-
-// Kinds of commands.
-const (
-	KindNoop Kind = iota
-	KindTicket
-	KindClaim
-	KindRecord
-)
-
-// Command is one entry of the log for the state machine.
-type Command struct {
-	Kind      Kind
-	NowUnixMS int64
-	Ticket    *api.Ticket
-	Claim     *controlrpc.ClaimArgs
-	Record    *controlrpc.RecordArgs
-}
-
-// Encode returns the command's bytes.
-func Encode(c Command) ([]byte, error) { return msgpack.Marshal(&c) }
-
-// Decode is the inverse of Encode.
-func Decode(data []byte) (Command, error) {
-	var c Command
-	err := msgpack.Unmarshal(data, &c)
-	return c, err
-}
+// MaxTicketBytes bounds a ticket as it is replicated.
+const MaxTicketBytes = 256 << 10
 
-// Result is what applying a command gave.
+// Result is what a command brought about. The fields of other kinds of
+// commands are zero.
 type Result struct {
-	Ticket  api.TicketReply
+	// Ticket is the reply to KindTicket.
+	Ticket api.TicketReply
+	// Verdict is the decision about KindClaim.
 	Verdict controlrpc.ClaimVerdict
+	// Outcome is the recorded outcome, with ClaimRecorded.
 	Outcome controlrpc.Outcome
 	Detail  string
 }
 
-type claim struct {
-	Claim   uint64
-	State   controlrpc.ClaimState
-	Outcome controlrpc.Outcome
+// Machine holds the applied state of one replica. It is not safe for
+// concurrent use.
+type Machine struct {
+	applied uint64
+	nowMS   int64
+	tickets *tickets.State
+	ledger  *ledger.Ledger
 }
 
-type state struct {
-	Applied uint64
-	History []controlrpc.HistoryEntry
-	Claims  map[string]claim
+// New returns a machine that has applied nothing. The ledger forgets keys
+// older than retention.
+func New(retention time.Duration) *Machine {
+	return &Machine{tickets: tickets.New(), ledger: ledger.New(retention)}
 }
 
-// Machine is the state machine's state.
-type Machine struct{ state state }
-
-// New returns an empty machine.
-func New(time.Duration) *Machine { return &Machine{state{Claims: map[string]claim{}}} }
-
-// Apply applies the command at index.
+// Apply applies the committed command at a log index. Indexes must rise; gaps
+// are allowed, since the log also holds entries of the replication itself. It
+// panics when an index is applied twice.
 func (m *Machine) Apply(index uint64, c Command) Result {
-	m.state.Applied = index
+	if index <= m.applied {
+		panic(fmt.Sprintf("index %d applied after index %d", index, m.applied))
+	}
+	m.applied = index
 	switch c.Kind {
 	case KindTicket:
-		return Result{Ticket: m.ticket(c)}
+		return Result{Ticket: m.tickets.Apply(m.ticketTime(c), *c.Ticket)}
 	case KindClaim:
-		return m.claim(*c.Claim)
+		v := m.ledger.Claim(c.NowUnixMS, *c.Claim)
+		return Result{Verdict: v.Verdict, Outcome: v.Outcome, Detail: v.Detail}
 	case KindRecord:
-		held := m.state.Claims[c.Record.Key]
-		held.State, held.Outcome = c.Record.State, c.Record.Outcome
-		m.state.Claims[c.Record.Key] = held
+		m.ledger.Record(c.NowUnixMS, *c.Record)
 	}
 	return Result{}
 }
 
-func (m *Machine) ticket(c Command) api.TicketReply {
-	for _, entry := range m.state.History {
-		if entry.Ticket.Number == c.Ticket.Number {
-			return api.TicketReply{Number: c.Ticket.Number, Outcome: api.TicketAccepted, Version: entry.Version}
-		}
-	}
-	version := m.Version() + 1
-	entry := controlrpc.HistoryEntry{Ticket: *c.Ticket, Version: version, AcceptedUnixMS: c.NowUnixMS}
-	m.state.History = append(m.state.History, entry)
-	return api.TicketReply{Number: c.Ticket.Number, Outcome: api.TicketAccepted, Version: version}
+// ticketTime returns the time of acceptance for the history, which never runs
+// backwards. The ledger takes the leader's clock as it is: its own floor is
+// monotonic, and a clock that was once far ahead must not expire the keys of
+// later, right clocks.
+func (m *Machine) ticketTime(c Command) int64 {
+	m.nowMS = max(m.nowMS, c.NowUnixMS)
+	return m.nowMS
 }
 
-func (m *Machine) claim(args controlrpc.ClaimArgs) Result {
-	held, ok := m.state.Claims[args.Key]
-	switch {
-	case !ok:
-		m.state.Claims[args.Key] = claim{Claim: args.Claim, State: controlrpc.ClaimHeld}
-		return Result{Verdict: controlrpc.ClaimGranted}
-	case held.State != controlrpc.ClaimHeld:
-		return Result{Verdict: controlrpc.ClaimRecorded, Outcome: held.Outcome}
-	case held.Claim == args.Claim:
-		return Result{Verdict: controlrpc.ClaimGranted}
-	}
-	return Result{Verdict: controlrpc.ClaimTaken}
+// Applied returns the last index applied.
+func (m *Machine) Applied() uint64 {
+	return m.applied
 }
 
-// Applied returns the last applied index.
-func (m *Machine) Applied() uint64 { return m.state.Applied }
-
-// Version returns the configuration's version.
-func (m *Machine) Version() uint64 { return uint64(len(m.state.History)) }
+// Version returns the version of the configuration.
+func (m *Machine) Version() uint64 {
+	return m.tickets.Version()
+}
 
-// Claims returns the number of keys kept.
-func (m *Machine) Claims() int { return len(m.state.Claims) }
+// Claims returns the number of keys in the ledger.
+func (m *Machine) Claims() int {
+	return m.ledger.Len()
+}
 
-// Delta returns what changed since a version.
+// Delta carries a configuration forward from version since. The receiver must
+// not change what it points to.
 func (m *Machine) Delta(since uint64) api.ConfigDelta {
-	delta := api.ConfigDelta{From: since, To: m.Version()}
-	for _, entry := range m.state.History {
-		if entry.Version > since {
-			delta.Tickets = append(delta.Tickets, entry.Ticket)
-		}
-	}
-	return delta
+	return m.tickets.Delta(since)
 }
 
-// History returns the accepted tickets.
-func (m *Machine) History(*api.ObjectRef) []controlrpc.HistoryEntry {
-	return append([]controlrpc.HistoryEntry(nil), m.state.History...)
+// History returns the accepted tickets kept that touched the object, oldest
+// first; nil means every object.
+func (m *Machine) History(object *api.ObjectRef) []controlrpc.HistoryEntry {
+	return m.tickets.History(object)
 }
 
-// Snapshot returns the whole state.
-func (m *Machine) Snapshot() ([]byte, error) { return msgpack.Marshal(&m.state) }
+// CheckTicket reports a ticket that is over MaxTicketBytes or not well formed,
+// before it is proposed. References to services are checked when it is
+// applied.
+func (m *Machine) CheckTicket(ticket api.Ticket) error {
+	if size := tickets.EncodedSize(ticket); size > MaxTicketBytes {
+		return fmt.Errorf("%w: its %d bytes are over the limit of %d", clusterconfig.ErrInvalid, size, MaxTicketBytes)
+	}
+	return clusterconfig.CheckTicket(ticket)
+}
 
-// Restore replaces the whole state.
-func (m *Machine) Restore(data []byte) error {
-	m.state = state{Claims: map[string]claim{}}
-	return msgpack.Unmarshal(data, &m.state)
+// CheckClaim reports a claim that is out of bounds, before it is proposed.
+func (m *Machine) CheckClaim(args controlrpc.ClaimArgs) error {
+	if args.Key == "" || len(args.Key) > ledger.MaxKeyBytes {
+		return fmt.Errorf("claim: key must have 1 to %d bytes", ledger.MaxKeyBytes)
+	}
+	if args.Claim == 0 {
+		return fmt.Errorf("claim on key %q has no id", args.Key)
+	}
+	if args.Claimant == "" || len(args.Claimant) > ledger.MaxNameBytes || len(args.Service) > ledger.MaxNameBytes {
+		return fmt.Errorf("claim on key %q: claimant and service must have at most %d bytes", args.Key, ledger.MaxNameBytes)
+	}
+	return nil
 }
 
-// CheckTicket checks a ticket before it is proposed.
-func (m *Machine) CheckTicket(ticket api.Ticket) error {
-	if ticket.Number == 0 {
-		return fmt.Errorf("ticket has no number")
+// CheckRecord reports an outcome that is out of bounds, before it is proposed.
+func (m *Machine) CheckRecord(args controlrpc.RecordArgs) error {
+	if args.Key == "" || len(args.Key) > ledger.MaxKeyBytes {
+		return fmt.Errorf("record: key must have 1 to %d bytes", ledger.MaxKeyBytes)
+	}
+	if args.State != controlrpc.ClaimRan && args.State != controlrpc.ClaimNotRun {
+		return fmt.Errorf("record of key %q: state %q is neither ran nor not run", args.Key, args.State)
+	}
+	if len(args.Outcome.Result) > ledger.MaxOutcomeBytes {
+		return fmt.Errorf("record of key %q: result of %d bytes is over the limit of %d", args.Key, len(args.Outcome.Result), ledger.MaxOutcomeBytes)
 	}
 	return nil
 }
