--- a/internal/configsync/follow/follow.go
+++ b/internal/configsync/follow/follow.go
@@ -10,7 +10,7 @@
 // follow keeps one poll going at the preferred control process that isn't
 // avoided, and looks at a peer's version now and then.
 func (s *State) follow() {
-	if s.poll == 0 {
+	if s.poll == 0 && !s.now.Before(s.pollAt) {
 		s.pollNext()
 	}
 	if s.now.Before(s.nextPeer) {
@@ -58,13 +58,17 @@
 		return
 	}
 	delete(s.asked, e.Token)
-	if e.Token == s.poll {
-		s.poll = 0
-	}
+	before := s.current.Version
 	good := !e.Failed && e.Reply.Result.Code == controlrpc.CodeOK
 	if good {
 		good = s.takeControlReply(a, e.Reply)
 	}
+	if e.Token == s.poll {
+		s.poll = 0
+		if s.current.Version == before {
+			s.pollAt = a.at.Add(s.timing.PollInterval)
+		}
+	}
 	if s.ready {
 		s.judgeControl(a, e, good)
 		return
--- a/internal/configsync/follow/state.go
+++ b/internal/configsync/follow/state.go
@@ -26,6 +26,9 @@
 type Timing struct {
 	// Wait is how long a control process may hold a poll.
 	Wait time.Duration
+	// PollInterval is the least time between two polls when the first brought
+	// nothing new.
+	PollInterval time.Duration
 	// Timeout is the time for a reply, beyond the wait.
 	Timeout time.Duration
 	// Slow is the time beyond the wait from which a reply counts as slow.
@@ -53,6 +56,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Wait:            3 * time.Second,
+		PollInterval:    200 * time.Millisecond,
 		Timeout:         time.Second,
 		Slow:            500 * time.Millisecond,
 		SlowLimit:       2,
@@ -105,12 +109,14 @@
 	// following is the control process polled; poll is the token of the poll.
 	following *control
 	poll      uint64
-	peers     []api.EntryMember
-	asked     map[uint64]ask
-	token     uint64
-	recovery  recovery
-	nextPeer  time.Time
-	effects   []Effect
+	// pollAt is when the next poll may begin.
+	pollAt   time.Time
+	peers    []api.EntryMember
+	asked    map[uint64]ask
+	token    uint64
+	recovery recovery
+	nextPeer time.Time
+	effects  []Effect
 }
 
 // control is a control process and this node's experience with it.
--- a/internal/configsync/service.go
+++ b/internal/configsync/service.go
@@ -171,14 +171,21 @@
 		Confirmed: e.Confirmed,
 	}
 	var reply controlrpc.FetchReply
-	err := s.cfg.Client.Call(ctx, e.Address, controlrpc.MethodFetch, &args, &reply)
-	s.step(follow.ControlAnswered{At: time.Now(), Token: e.Token, Failed: err != nil, Reply: reply})
+	if err := s.cfg.Client.Call(ctx, e.Address, controlrpc.MethodFetch, &args, &reply); err != nil {
+		// The reply may still be written to by a call that was given up.
+		s.step(follow.ControlAnswered{At: time.Now(), Token: e.Token, Failed: true})
+		return
+	}
+	s.step(follow.ControlAnswered{At: time.Now(), Token: e.Token, Reply: reply})
 }
 
 func (s *Service) askPeer(e follow.AskPeer) {
 	ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
 	defer cancel()
 	var reply FetchReply
-	err := s.cfg.Client.Call(ctx, e.Address, methodFetch, &FetchArgs{Since: e.Since}, &reply)
-	s.step(follow.PeerAnswered{At: time.Now(), Token: e.Token, Failed: err != nil, Reply: reply.Reply})
+	if err := s.cfg.Client.Call(ctx, e.Address, methodFetch, &FetchArgs{Since: e.Since}, &reply); err != nil {
+		s.step(follow.PeerAnswered{At: time.Now(), Token: e.Token, Failed: true})
+		return
+	}
+	s.step(follow.PeerAnswered{At: time.Now(), Token: e.Token, Reply: reply.Reply})
 }
--- /dev/null
+++ b/internal/configsync/service_test.go
@@ -0,0 +1,102 @@
+package configsync
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/clusterconfig"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/wire"
+)
+
+// fakeControl answers Control.Fetch with one configuration.
+type fakeControl struct {
+	mu  sync.Mutex
+	cfg api.Configuration
+}
+
+// Fetch implements the method of a control process.
+func (f *fakeControl) Fetch(args *controlrpc.FetchArgs, reply *controlrpc.FetchReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cfg := f.cfg
+	reply.Applied = cfg.Version
+	reply.Delta = api.ConfigDelta{From: args.Since, To: cfg.Version, Whole: &cfg}
+	return nil
+}
+
+func serve(t *testing.T, name string, receiver any) (string, *wire.Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer()
+	if name != "" {
+		assert.NilError(t, server.Register(name, receiver))
+	}
+	server.Serve(listener)
+	t.Cleanup(server.Close)
+	return listener.Addr().String(), server
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestFollowsControlThenPeer follows a control process, and brings a node that
+// has no control process to the same version through its peer.
+func TestFollowsControlThenPeer(t *testing.T) {
+	cfg := clusterconfig.Empty()
+	cfg.Version = 41
+	control := &fakeControl{cfg: cfg}
+	controlAddress, _ := serve(t, "Control", control)
+	client := wire.NewClient(nil)
+	t.Cleanup(client.Close)
+
+	first := New(Config{
+		Self:     settings.Node{ID: "a", DataCentre: "oeste"},
+		Controls: []settings.Peer{{ID: "c1", Address: controlAddress, DataCentre: "oeste"}},
+		Client:   client,
+	})
+	address, server := serve(t, "", nil)
+	assert.NilError(t, first.Register(server))
+	first.Start()
+	t.Cleanup(first.Stop)
+	waitFor(t, "first node ready at 41", func() bool { return first.Ready() && first.Version() == 41 })
+	assert.Assert(t, first.Age() >= 0)
+
+	var mu sync.Mutex
+	var got []uint64
+	second := New(Config{
+		Self:   settings.Node{ID: "b", DataCentre: "oeste"},
+		Peers:  func() []api.EntryMember { return []api.EntryMember{{ID: "a", Address: address, DataCentre: "oeste"}} },
+		Client: client,
+		OnConfig: func(cfg api.Configuration, _ time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			got = append(got, cfg.Version)
+		},
+	})
+	second.Start()
+	t.Cleanup(second.Stop)
+	waitFor(t, "second node ready at 41", func() bool { return second.Ready() && second.Version() == 41 })
+	control.mu.Lock()
+	control.cfg.Version = 42
+	control.mu.Unlock()
+	waitFor(t, "both at 42", func() bool { return first.Version() == 42 && second.Version() == 42 })
+	mu.Lock()
+	defer mu.Unlock()
+	assert.DeepEqual(t, got, []uint64{41, 42})
+}
--- a/internal/membership/bridge.go
+++ b/internal/membership/bridge.go
@@ -31,7 +31,12 @@
 	return bridges
 }
 
+// isBridge reports whether this node keeps contact with other data centres. A
+// node that leaves does, for its last word: it may have been the only one.
 func (s *State) isBridge() bool {
+	if !s.leaving.IsZero() {
+		return true
+	}
 	return containsMember(s.bridgesOf(s.me().DataCentre), s.self)
 }
 
@@ -46,6 +51,9 @@
 // bridge contacts each other data centre and keeps the list of those that
 // aren't heard from.
 func (s *State) bridge() {
+	if s.me().State == MemberLeft {
+		return
+	}
 	if !s.isBridge() {
 		s.bridging.active = false
 		s.setUnreached(nil)
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -108,7 +108,7 @@
 		return true
 	}
 	if !s.small() {
-		return r.duplicates >= s.timing.KnownLimit
+		return r.duplicates >= s.knownLimit(r.key)
 	}
 	for _, e := range s.gossipPeers(s.crosses(r)) {
 		if _, ok := r.known[e.ID]; !ok {
@@ -118,6 +118,16 @@
 	return true
 }
 
+func (s *State) knownLimit(key recordKey) int {
+	if key.target {
+		t := s.targets[api.TargetID(key.name)]
+		if t != nil && !t.State().AcceptsWork() {
+			return s.timing.LeavingKnownLimit
+		}
+	}
+	return s.timing.KnownLimit
+}
+
 // small reports whether this data centre is small enough to push to everybody.
 func (s *State) small() bool {
 	return len(s.listed[s.me().DataCentre]) <= 2*s.timing.Fanout
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -26,13 +26,25 @@
 		s.renewed(cur, s.now)
 		s.forwardRenewal(cur)
 	}
-	reply := api.AnnounceReply{RenewMS: max(1, a.LeaseMS/renewalsPerLease)}
+	reply := api.AnnounceReply{RenewMS: s.renewAfter(a).Milliseconds()}
 	if cur.Announcement.Incarnation == a.Incarnation {
 		reply.Sequence = cur.Announcement.Sequence
 	}
 	s.emit(AnnounceReplied{Reply: reply})
 }
 
+// renewAfter returns when a target is to renew. A node that hears from nobody
+// can't pass the renewal on: it has the target come back soon, through the
+// balancer, so that another node gets the renewal before the lease ends.
+func (s *State) renewAfter(a api.Announcement) time.Duration {
+	after := time.Duration(a.LeaseMS) * time.Millisecond / renewalsPerLease
+	silent := s.now.Sub(s.heardAt) > s.timing.SilentAfter && len(s.suspectsAndLive()) > 0
+	if silent {
+		after = min(after, s.timing.SilentRenew)
+	}
+	return max(after, time.Millisecond)
+}
+
 // renewed notes evidence that a target holds to its announced state. A lease
 // that was found ended is taken up again: the renewals were merely lost.
 func (s *State) renewed(t *targetEntry, at time.Time) {
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -19,13 +19,13 @@
 	if s.leaving.IsZero() || s.leftDone {
 		return
 	}
-	peers := len(s.listed[s.me().DataCentre])
-	known := peers
+	enough := min(len(s.gossipPeers(true)), s.timing.Fanout)
+	known := enough
 	if r := s.rumours[recordKey{name: s.self}]; r != nil {
 		known = len(r.known)
 	}
 	late := s.now.Sub(s.leaving) >= s.timing.LeaveTimeout
-	if known < min(peers, s.timing.Fanout) && !late {
+	if known < enough && !late {
 		return
 	}
 	s.leftDone = true
--- /dev/null
+++ b/internal/membership/liveness_test.go
@@ -0,0 +1,265 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fault: kill x announce
+func TestCrashedNodeIsFoundDead(t *testing.T) {
+	tests := []struct {
+		name  string
+		perDC int
+		loss  float64
+		bound time.Duration
+	}{
+		{"two nodes", 2, 0, 10 * time.Second},
+		{"three nodes", 3, 0, 10 * time.Second},
+		{"three nodes with loss", 3, 0.1, 20 * time.Second},
+		{"thirty nodes with loss", 30, 0.1, 40 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, tt.perDC, "oeste", "serra")
+			s.runUntil(20*time.Second, "membership complete", s.converged)
+			s.loss = tt.loss
+			s.nodes["oeste-1"].down = true
+			took := s.runUntil(tt.bound, "crash seen everywhere", func() bool {
+				for _, n := range s.live() {
+					if n.memberState("oeste-1") != "absent" {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("dead everywhere after %s", took)
+			for _, n := range s.live() {
+				for _, other := range s.live() {
+					assert.Assert(t, n.memberState(other.id) != "absent", "%s lost %s", n.id, other.id)
+				}
+			}
+		})
+	}
+}
+
+// fault: kill x restart
+func TestRestartUnderTheSameAddress(t *testing.T) {
+	s := newSim(t, 3, "oeste", "serra")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	s.nodes["serra-0"].down = true
+	s.run(500 * time.Millisecond)
+	s.startNode("serra-0", "serra", 2)
+	s.runUntil(10*time.Second, "new incarnation everywhere", func() bool {
+		for _, n := range s.live() {
+			if e := n.state.members["serra-0"]; e == nil || e.Incarnation < 2 || !e.Listed() {
+				return false
+			}
+		}
+		return s.converged()
+	})
+	for _, n := range s.live() {
+		assert.Equal(t, n.deaths, 0, n.id)
+	}
+}
+
+// A process that starts with a lower incarnation than the one known must not
+// be stuck as the old one: it raises its own.
+func TestRestartWithLowerIncarnation(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	s.nodes["oeste-2"].down = true
+	s.run(20 * time.Second)
+	s.startNode("oeste-2", "oeste", 0)
+	s.runUntil(10*time.Second, "membership complete", s.converged)
+}
+
+// A message for the process that had the address before must not be answered:
+// its answer would keep the old member alive for ever.
+func TestAnotherProcessUnderTheSameAddress(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	s.nodes["oeste-2"].down = true
+	delete(s.nodes, "oeste-2")
+	n := s.startNode("oeste-9", "oeste", 1)
+	n.state = New(Config{
+		Self:       Member{ID: "oeste-9", Address: "oeste-2", DataCentre: "oeste", Incarnation: 1},
+		Seeds:      s.seeds,
+		Timing:     DefaultTiming(),
+		RandomSeed: 99,
+	}, s.now)
+	s.address["oeste-2"] = n
+	s.runUntil(20*time.Second, "old member replaced", s.converged)
+}
+
+// fault: stop and continue x announce
+func TestFrozenNodeWakesWithOldNews(t *testing.T) {
+	tests := []struct {
+		name   string
+		frozen time.Duration
+	}{
+		{"short", 3 * time.Second},
+		{"until suspected", 7 * time.Second},
+		{"until dead", time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4, "oeste", "serra")
+			s.runUntil(20*time.Second, "membership complete", s.converged)
+			a := announcement("lots-1", "oeste", 1, "ready")
+			stop := s.renewing(a)
+			defer stop()
+			old := announcement("lots-2", "oeste", 1, "ready")
+			s.announce("oeste-0", old)
+			s.run(time.Second)
+
+			frozen := s.nodes["oeste-2"]
+			frozen.frozen = true
+			drained := announcement("lots-2", "oeste", 2, "draining")
+			s.announce("oeste-1", drained)
+			s.run(tt.frozen)
+			deaths, suspects := 0, 0
+			for _, n := range s.live() {
+				deaths += n.deaths
+				suspects += n.suspects
+			}
+			own := frozen.suspects
+			s.thaw(frozen)
+			s.runUntil(10*time.Second, "membership complete after waking", s.converged)
+			s.run(10 * time.Second)
+			assert.Equal(t, frozen.suspects, own, "the woken node accused others")
+			assert.Equal(t, frozen.deaths, 0)
+			for _, n := range s.live() {
+				if n != frozen {
+					deaths -= n.deaths
+					suspects -= n.suspects
+				}
+				assert.Equal(t, n.targetState("lots-1"), a.State, n.id)
+				assert.Assert(t, n.targetState("lots-2") != "ready", "old news came back at %s", n.id)
+			}
+			assert.Equal(t, deaths, 0, "members died after the node woke")
+			assert.Equal(t, suspects, 0, "members were suspected after the node woke")
+		})
+	}
+}
+
+// fault: cut one way x announce
+func TestAsymmetricCutDoesNotFlap(t *testing.T) {
+	tests := []struct {
+		name  string
+		perDC int
+		cut   func(from, to *simNode) bool
+	}{
+		{"one pair one way", 3, func(from, to *simNode) bool {
+			return from.id == "oeste-0" && to.id == "oeste-1"
+		}},
+		{"one pair both ways", 4, func(from, to *simNode) bool {
+			return from.id == "oeste-0" && to.id == "oeste-1" || from.id == "oeste-1" && to.id == "oeste-0"
+		}},
+		{"one pair of two nodes, helped from the other data centre", 2, func(from, to *simNode) bool {
+			return from.id == "oeste-0" && to.id == "oeste-1"
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, tt.perDC, "oeste", "serra")
+			s.runUntil(20*time.Second, "membership complete", s.converged)
+			s.cut = tt.cut
+			s.run(2 * time.Minute)
+			for _, n := range s.live() {
+				assert.Equal(t, n.deaths, 0, n.id)
+				assert.Equal(t, n.suspects, 0, n.id)
+			}
+			assert.Assert(t, s.converged())
+		})
+	}
+}
+
+// A node whose messages are all lost, or that is cut off both ways, declares
+// nobody dead, and makes nobody else's members flap when it is back.
+//
+// fault: cut both ways x restart
+func TestNodeCutOffAlone(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(from, to *simNode) bool
+	}{
+		{"both ways", func(from, to *simNode) bool { return from.id == "oeste-0" || to.id == "oeste-0" }},
+		{"cannot send", func(from, _ *simNode) bool { return from.id == "oeste-0" }},
+		{"cannot receive", func(_, to *simNode) bool { return to.id == "oeste-0" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4, "oeste", "serra")
+			s.runUntil(20*time.Second, "membership complete", s.converged)
+			s.cut = tt.cut
+			s.run(time.Minute)
+			deaths := map[string]int{}
+			for _, n := range s.live() {
+				deaths[n.id] = n.deaths
+			}
+			s.cut = nil
+			s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
+			s.run(10 * time.Second)
+			for _, n := range s.live() {
+				assert.Equal(t, n.deaths, deaths[n.id], "%s declared somebody dead after the cut", n.id)
+			}
+		})
+	}
+}
+
+func TestGracefulLeave(t *testing.T) {
+	for _, perDC := range []int{1, 3, 30} {
+		s := newSim(t, perDC, "oeste", "serra")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		s.loss = 0.1
+		n := s.nodes["oeste-0"]
+		s.step(n, LeaveAsked{At: s.now})
+		s.runUntil(2*time.Second, "leave acknowledged", func() bool { return n.leaveDone })
+		n.down = true
+		s.runUntil(5*time.Second, "leave seen everywhere", s.converged)
+		for _, m := range s.live() {
+			assert.Equal(t, m.deaths, 0, m.id)
+		}
+	}
+}
+
+// fault: cut of one data centre x announce
+func TestDataCentreCutAndHeal(t *testing.T) {
+	s := newSim(t, 3, "oeste", "serra", "litoral")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	far := announcement("lots-far", "oeste", 1, "ready")
+	stopFar := s.renewing(far)
+	near := announcement("lots-near", "serra", 1, "ready")
+	stopNear := s.renewing(near)
+	defer stopNear()
+	s.runUntil(5*time.Second, "targets everywhere", func() bool {
+		return s.everywhere("lots-far", "ready") && s.everywhere("lots-near", "ready")
+	})
+	s.cut = func(from, to *simNode) bool { return (from.dc == "oeste") != (to.dc == "oeste") }
+	s.runUntil(15*time.Second, "data centre unreachable everywhere", func() bool {
+		for _, n := range s.live() {
+			for _, other := range s.live() {
+				apart := (n.dc == "oeste") != (other.dc == "oeste")
+				if apart != (n.memberState(other.id) == StateUnreachable) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	s.run(10 * time.Minute)
+	assert.Assert(t, s.everywhere("lots-far", "ready"), "a live target of the cut data centre was dropped")
+	assert.Assert(t, s.everywhere("lots-near", "ready"))
+	stopFar()
+	s.runUntil(30*time.Second, "lease ends in its own data centre", func() bool {
+		return s.everywhere("lots-far", "gone", "oeste")
+	})
+	s.cut = nil
+	s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
+	s.runUntil(5*time.Second, "news crosses after the cut", func() bool { return s.everywhere("lots-far", "gone") })
+	for _, n := range s.live() {
+		assert.Equal(t, n.deaths, 0, n.id)
+	}
+}
--- /dev/null
+++ b/internal/membership/spread_test.go
@@ -0,0 +1,255 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+)
+
+// drainBound is the time in which news of a leaving target must be everywhere.
+const drainBound = 2 * time.Second
+
+// TestDrainNewsReachesEveryNode checks the bound in virtual time, under loss
+// and cuts that leave a path of two hops.
+//
+// fault: cut both ways x drain
+// fault: delayed and reordered replies x drain
+func TestDrainNewsReachesEveryNode(t *testing.T) {
+	tests := []struct {
+		name   string
+		perDC  int
+		dcs    []string
+		loss   float64
+		jitter time.Duration
+		cut    func(from, to *simNode) bool
+	}{
+		{"nine nodes", 3, []string{"oeste", "serra", "litoral"}, 0, time.Millisecond, nil},
+		{"nine nodes, a third lost", 3, []string{"oeste", "serra", "litoral"}, 0.3, 50 * time.Millisecond, nil},
+		{"nine nodes, reordered", 3, []string{"oeste", "serra", "litoral"}, 0, 300 * time.Millisecond, nil},
+		{"a pair cut", 4, []string{"oeste", "serra"}, 0.1, time.Millisecond, func(from, to *simNode) bool {
+			return from.id == "oeste-0" && to.id != "oeste-1" || to.id == "oeste-0" && from.id != "oeste-1"
+		}},
+		{"two data centres cut from each other", 3, []string{"oeste", "serra", "litoral"}, 0, time.Millisecond, func(from, to *simNode) bool {
+			return from.dc != to.dc && from.dc != "litoral" && to.dc != "litoral"
+		}},
+		{"eighty nodes, a tenth lost", 40, []string{"oeste", "serra"}, 0.1, 10 * time.Millisecond, nil},
+		{"a hundred nodes", 100, []string{"oeste"}, 0.05, 10 * time.Millisecond, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, tt.perDC, tt.dcs...)
+			s.runUntil(30*time.Second, "membership complete", s.converged)
+			const targets = 20
+			for i := range targets {
+				s.announce("oeste-0", announcement(targetID(i), "oeste", 1, "ready"))
+			}
+			s.runUntil(10*time.Second, "targets everywhere", func() bool { return s.allIn("ready", targets) })
+			s.loss, s.jitter, s.cut = tt.loss, tt.jitter, tt.cut
+			s.run(100 * time.Millisecond)
+			var longest time.Duration
+			for i := range targets {
+				s.announce("oeste-0", announcement(targetID(i), "oeste", 2, "draining"))
+				took := s.runUntil(drainBound, "drain everywhere", func() bool {
+					return s.everywhere(targetID(i), api.TargetDraining)
+				})
+				longest = max(longest, took)
+			}
+			t.Logf("longest of %d: %s", targets, longest)
+		})
+	}
+}
+
+func targetID(i int) api.TargetID {
+	return api.TargetID(fmt.Sprintf("lots-%d", i))
+}
+
+func (s *sim) allIn(state api.TargetState, targets int) bool {
+	for i := range targets {
+		if !s.everywhere(targetID(i), state) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestReportedDrainSpreads spreads a state that one node learned from a reply,
+// and doesn't let a renewal that was under way undo it.
+func TestReportedDrainSpreads(t *testing.T) {
+	s := newSim(t, 3, "oeste", "serra")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	a := announcement("lots-1", "oeste", 1, "ready")
+	s.announce("oeste-0", a)
+	s.runUntil(2*time.Second, "target everywhere", func() bool { return s.everywhere("lots-1", "ready") })
+	report := Reported{Target: "lots-1", Incarnation: 1, State: api.TargetDraining}
+	report.At = s.now
+	s.step(s.nodes["serra-2"], report)
+	s.announce("oeste-1", a)
+	s.runUntil(drainBound, "report everywhere", func() bool { return s.everywhere("lots-1", "draining") })
+	old := report
+	old.State = api.TargetReady
+	s.step(s.nodes["serra-1"], old)
+	s.run(time.Second)
+	assert.Assert(t, s.everywhere("lots-1", "draining"), "an older reply undid the drain")
+	s.announce("oeste-1", announcement("lots-1", "oeste", 2, "ready"))
+	s.runUntil(drainBound, "the target's own later state", func() bool { return s.everywhere("lots-1", "ready") })
+}
+
+// TestRenewalsEndAtTheOwners checks that a renewal costs two messages however
+// many nodes there are.
+func TestRenewalsEndAtTheOwners(t *testing.T) {
+	s := newSim(t, 20, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	a := announcement("lots-1", "oeste", 1, "ready")
+	a.LeaseMS = 60_000
+	s.announce("oeste-0", a)
+	s.run(10 * time.Second)
+	renewals := 0
+	s.onEffect = func(_ *simNode, e Effect) {
+		if send, ok := e.(Send); ok && send.Message.Kind != KindPing && send.Message.Kind != KindAck && send.Message.Kind != KindDigest {
+			assert.Equal(t, send.Message.Kind, KindRenew, "%+v", send.Message)
+			renewals++
+		}
+	}
+	for range 10 {
+		s.announce("oeste-3", a)
+		s.run(time.Second)
+	}
+	assert.Assert(t, renewals <= 20, "%d messages for 10 renewals", renewals)
+	assert.Equal(t, s.nodes["oeste-3"].reply, api.AnnounceReply{Sequence: 1, RenewMS: 20_000})
+}
+
+// fault: kill x announce
+func TestLeaseEnd(t *testing.T) {
+	s := newSim(t, 3, "oeste", "serra")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	a := announcement("lots-1", "oeste", 1, "ready")
+	stop := s.renewing(a)
+	s.run(time.Minute)
+	assert.Assert(t, s.everywhere("lots-1", "ready"))
+	stop()
+	lease := time.Duration(a.LeaseMS) * time.Millisecond
+	s.run(lease - 3*time.Second)
+	assert.Assert(t, s.everywhere("lots-1", "ready"))
+	s.runUntil(6*time.Second, "gone everywhere", func() bool { return s.everywhere("lots-1", "gone") })
+	s.announce("oeste-1", a)
+	s.runUntil(drainBound, "a late renewal brings it back", func() bool { return s.everywhere("lots-1", "ready") })
+	s.run(lease + 3*time.Second)
+	assert.Assert(t, s.everywhere("lots-1", "gone"))
+	a.Incarnation++
+	s.announce("oeste-0", a)
+	s.runUntil(drainBound, "a new incarnation brings it back", func() bool { return s.everywhere("lots-1", "ready") })
+}
+
+// TestLeaseOutlastsLostRenewals lets renewals reach some nodes only.
+//
+// fault: cut one way x announce
+func TestLeaseOutlastsLostRenewals(t *testing.T) {
+	tests := []struct {
+		name string
+		// lost says which renewals the network loses.
+		lost func(owners []string, to *simNode) bool
+	}{
+		{"one owner gets none", func(owners []string, to *simNode) bool { return to.id == owners[0] }},
+		{"neither owner gets any", func(owners []string, to *simNode) bool { return slices.Contains(owners, to.id) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4, "oeste")
+			s.runUntil(20*time.Second, "membership complete", s.converged)
+			a := announcement("lots-1", "oeste", 1, "ready")
+			s.announce("oeste-0", a)
+			s.run(time.Second)
+			var owners []string
+			n := s.nodes["oeste-0"].state
+			for _, e := range n.ownersOf(n.targets["lots-1"]) {
+				owners = append(owners, e.ID)
+			}
+			renewing := s.live()
+			renewing = slices.DeleteFunc(renewing, func(n *simNode) bool { return slices.Contains(owners, n.id) })
+			blocked := false
+			s.cut = func(_, to *simNode) bool { return blocked && tt.lost(owners, to) }
+			for range 60 {
+				blocked = true
+				s.step(renewing[0], Announced{At: s.now, Announcement: a})
+				blocked = false
+				s.run(2 * time.Second)
+				for _, n := range s.live() {
+					assert.Equal(t, n.targetState("lots-1"), a.State, n.id)
+				}
+			}
+		})
+	}
+}
+
+// TestOwnersChange kills the owners of targets that go on renewing, one after
+// the other, and then lets a target end: the new owners must notice.
+//
+// fault: two at once x announce
+func TestOwnersChange(t *testing.T) {
+	s := newSim(t, 5, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	a := announcement("lots-1", "oeste", 1, "ready")
+	stop := s.renewing(a)
+	s.run(5 * time.Second)
+	n := s.nodes["oeste-0"].state
+	for _, e := range slices.Clone(n.ownersOf(n.targets["lots-1"])) {
+		s.nodes[e.ID].down = true
+	}
+	s.run(time.Minute)
+	for _, n := range s.live() {
+		assert.Assert(t, !slices.Contains(n.states["lots-1"], api.TargetGone), "%s saw the target gone", n.id)
+	}
+	stop()
+	s.runUntil(10*time.Second, "gone everywhere", func() bool { return s.everywhere("lots-1", "gone") })
+}
+
+// TestOwnerCutOffAlone keeps an owner that hears nobody from ending leases.
+//
+// fault: cut both ways x announce
+func TestOwnerCutOffAlone(t *testing.T) {
+	s := newSim(t, 3, "oeste", "serra")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	for i := range 10 {
+		defer s.renewing(announcement(targetID(i), "oeste", 1, "ready"))()
+	}
+	s.run(10 * time.Second)
+	alone := s.nodes["oeste-1"]
+	s.cut = func(from, to *simNode) bool { return from == alone || to == alone }
+	s.run(time.Minute)
+	s.cut = nil
+	s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
+	s.run(10 * time.Second)
+	for _, n := range s.live() {
+		for i := range 10 {
+			assert.Assert(t, !slices.Contains(n.states[targetID(i)], api.TargetGone), "%s saw %s gone", n.id, targetID(i))
+		}
+	}
+}
+
+// TestGoneTargetStaysGone lets a node that missed the end bring its old record
+// back, within the retention and after it.
+func TestGoneTargetStaysGone(t *testing.T) {
+	timing := DefaultTiming()
+	timing.Retention = 10 * time.Minute
+	for _, away := range []time.Duration{time.Minute, 15 * time.Minute} {
+		s := newSimTimed(t, timing, 2, "oeste", "serra")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		s.announce("oeste-0", announcement("lots-1", "oeste", 1, "ready"))
+		s.runUntil(time.Second, "target everywhere", func() bool { return s.everywhere("lots-1", "ready") })
+		late := s.nodes["serra-1"]
+		late.frozen = true
+		s.announce("oeste-1", announcement("lots-1", "oeste", 2, "gone"))
+		s.run(away)
+		s.thaw(late)
+		s.run(20 * time.Second)
+		for _, n := range s.live() {
+			state := n.targetState("lots-1")
+			assert.Assert(t, state == "gone" || state == "", "%s has %s after %s", n.id, state, away)
+		}
+	}
+}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -28,6 +28,9 @@
 	// KnownLimit is the number of receivers that had a piece of news already
 	// after which a node in a large data centre stops to push it.
 	KnownLimit int
+	// LeavingKnownLimit is the same for news of a target that takes no more work,
+	// which must reach every node soon.
+	LeavingKnownLimit int
 	// SyncInterval is the time between two comparisons of digests.
 	SyncInterval time.Duration
 	// FrozenGap is the gap between two ticks from which a node counts itself as
@@ -56,6 +59,11 @@
 	LeaseCheck time.Duration
 	// LeaseScan is the time between two scans of the leases.
 	LeaseScan time.Duration
+	// SilentAfter is the silence of all peers after which a node has targets
+	// renew sooner, so that they find another node.
+	SilentAfter time.Duration
+	// SilentRenew is the time after which it has them renew.
+	SilentRenew time.Duration
 	// Retention is how long the records of ended members and gone targets are
 	// kept, so that old news doesn't bring them back.
 	Retention time.Duration
@@ -66,26 +74,29 @@
 // DefaultTiming returns the times that the entry nodes use.
 func DefaultTiming() Timing {
 	return Timing{
-		ProbeInterval:  time.Second,
-		ProbeTimeout:   300 * time.Millisecond,
-		IndirectProbes: 3,
-		Suspicion:      4 * time.Second,
-		Fanout:         4,
-		GossipInterval: 200 * time.Millisecond,
-		GossipRounds:   25,
-		KnownLimit:     3,
-		SyncInterval:   time.Second,
-		FrozenGap:      time.Second,
-		Settle:         2 * time.Second,
-		IsolatedAfter:  4 * time.Second,
-		Bridges:        2,
-		BridgeInterval: time.Second,
-		UnreachedAfter: 5 * time.Second,
-		RejoinInterval: 3 * time.Second,
-		Owners:         2,
-		LeaseCheck:     500 * time.Millisecond,
-		LeaseScan:      500 * time.Millisecond,
-		Retention:      24 * time.Hour,
-		LeaveTimeout:   time.Second,
+		ProbeInterval:     time.Second,
+		ProbeTimeout:      300 * time.Millisecond,
+		IndirectProbes:    3,
+		Suspicion:         4 * time.Second,
+		Fanout:            4,
+		GossipInterval:    200 * time.Millisecond,
+		GossipRounds:      25,
+		KnownLimit:        3,
+		LeavingKnownLimit: 10,
+		SyncInterval:      time.Second,
+		FrozenGap:         time.Second,
+		Settle:            2 * time.Second,
+		IsolatedAfter:     4 * time.Second,
+		Bridges:           2,
+		BridgeInterval:    time.Second,
+		UnreachedAfter:    5 * time.Second,
+		RejoinInterval:    3 * time.Second,
+		Owners:            2,
+		LeaseCheck:        500 * time.Millisecond,
+		LeaseScan:         500 * time.Millisecond,
+		SilentAfter:       2 * time.Second,
+		SilentRenew:       500 * time.Millisecond,
+		Retention:         24 * time.Hour,
+		LeaveTimeout:      time.Second,
 	}
 }
