Experiments run against the entry node; stand-ins keep their answers

Ruled out: the entry node as the cause: a CPU profile showed the stand-ins and the checker, and answers of up to 300 hits. Change: an index keeps the answers asked last; generated queries have three different words, so some 10 hits; the searcher applies the limit to each shard by itself, since the entry node may take only some shards of a reply.

--- a/cmd/wigeon-load/run.go
+++ b/cmd/wigeon-load/run.go
@@ -6,9 +6,10 @@
 	"errors"
 	"time"
 
+	"wigeonbay/internal/cli"
 	"wigeonbay/internal/load"
 
-	"github.com/urfave/cli/v3"
+	urfave "github.com/urfave/cli/v3"
 )
 
 // Flags of run.
@@ -24,31 +25,31 @@
 	flagSeed       = "seed"
 )
 
-func runCommand() *cli.Command {
-	return &cli.Command{
+func runCommand() *urfave.Command {
+	return &urfave.Command{
 		Name:  "run",
 		Usage: "send searches and submits to running entry nodes",
 		Description: "Ends with one JSON line; the exit code is 1 when an answer mixed snapshots,\n" +
 			"a submit ran twice, or a search or submit was lost.",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: flagEntries, Usage: "callers' `ADDRESSES` of entry nodes, separated by commas", Required: true},
-			&cli.StringSliceFlag{Name: flagTargets, Usage: "`ADDRESSES` of stand-in targets, to ask how often each submit ran"},
-			&cli.StringSliceFlag{Name: flagServices, Usage: "`NAME=CATALOGUE` of a service, such as salao-1=lots", Required: true},
-			&cli.FloatFlag{Name: flagRate, Usage: "searches a second on each service", Value: 20},
-			&cli.FloatFlag{Name: flagSubmitRate, Usage: "submits a second on each service", Value: 0},
-			&cli.DurationFlag{Name: flagDuration, Usage: "length of the run", Value: 10 * time.Second},
-			&cli.DurationFlag{Name: flagDeadline, Usage: "deadline of each request", Value: time.Second},
-			&cli.DurationFlag{Name: flagWait, Usage: "time for each service to give a first whole answer", Value: 20 * time.Second},
-			&cli.Uint64Flag{Name: flagSeed, Usage: "seed of arrivals and queries", Value: 1},
+		Flags: []urfave.Flag{
+			&urfave.StringSliceFlag{Name: flagEntries, Usage: "callers' `ADDRESSES` of entry nodes, separated by commas", Required: true},
+			&urfave.StringSliceFlag{Name: flagTargets, Usage: "`ADDRESSES` of stand-in targets, to ask how often each submit ran"},
+			&urfave.StringSliceFlag{Name: flagServices, Usage: "`NAME=CATALOGUE` of a service, such as salao-1=lots", Required: true},
+			&urfave.FloatFlag{Name: flagRate, Usage: "searches a second on each service", Value: 20},
+			&urfave.FloatFlag{Name: flagSubmitRate, Usage: "submits a second on each service", Value: 0},
+			&urfave.DurationFlag{Name: flagDuration, Usage: "length of the run", Value: 10 * time.Second},
+			&urfave.DurationFlag{Name: flagDeadline, Usage: "deadline of each request", Value: time.Second},
+			&urfave.DurationFlag{Name: flagWait, Usage: "time for each service to give a first whole answer", Value: 20 * time.Second},
+			&urfave.Uint64Flag{Name: flagSeed, Usage: "seed of arrivals and queries", Value: 1},
 		},
 		Action: run,
 	}
 }
 
-func run(ctx context.Context, c *cli.Command) error {
+func run(ctx context.Context, c *urfave.Command) error {
 	session, err := newSession(c)
 	if err != nil {
-		return cli.Exit(err, exitUsage)
+		return cli.Usagef("%v", err)
 	}
 	report, err := session.Run(ctx)
 	if err != nil {
@@ -67,7 +68,7 @@
 	return nil
 }
 
-func newSession(c *cli.Command) (*load.Session, error) {
+func newSession(c *urfave.Command) (*load.Session, error) {
 	session := &load.Session{
 		Entries:    c.StringSlice(flagEntries),
 		Targets:    c.StringSlice(flagTargets),
--- a/cmd/wigeon-searcher/app.go
+++ b/cmd/wigeon-searcher/app.go
@@ -17,8 +17,8 @@
 // stopTimeout bounds the time in which all searchers must have left.
 const stopTimeout = 30 * time.Second
 
-// run serves until the process is told to stop.
-func run(l *loaded) error {
+// run serves until ctx ends, then lets every searcher leave.
+func run(ctx context.Context, l *loaded) error {
 	app := fx.New(
 		fx.Supply(l),
 		fx.Provide(newLogger),
@@ -26,15 +26,17 @@
 		fx.StopTimeout(stopTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
-	if err := app.Err(); err != nil {
+	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	app.Run()
-	return nil
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return app.Stop(stopping)
 }
 
 func newLogger(l *loaded) (*zap.Logger, error) {
-	return telemetry.NewLogger("wigeon-searcher", l.settings.Node.ID)
+	return telemetry.NewLogger(process, l.settings.Node.ID)
 }
 
 // register adds each searcher's start and stop to the process's lifecycle.
--- a/cmd/wigeon-searcher/main.go
+++ b/cmd/wigeon-searcher/main.go
@@ -3,68 +3,23 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
 
+	"wigeonbay/internal/cli"
 	"wigeonbay/internal/searcher"
 	"wigeonbay/internal/settings"
-
-	"github.com/urfave/cli/v3"
 )
 
-// version is set by the linker in releases.
-var version = "dev"
-
-// exitSettings is the exit code for faults in the settings.
-const exitSettings = 2
+const process = "wigeon-searcher"
 
 func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-searcher:", err)
-		os.Exit(1)
-	}
-}
-
-func command() *cli.Command {
-	config := &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (INI)", Required: true}
-	return &cli.Command{
-		Name:                  "wigeon-searcher",
-		Usage:                 "stand-in targets for demos and experiments",
-		Version:               version,
-		EnableShellCompletion: true,
-		Flags:                 []cli.Flag{&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (INI)"}},
-		Action:                serve,
-		Commands: []*cli.Command{
-			{Name: "check-config", Usage: "check a settings file and exit", Flags: []cli.Flag{config}, Action: check},
-			{Name: "version", Usage: "print the version", Action: printVersion},
-		},
-	}
-}
-
-func printVersion(_ context.Context, c *cli.Command) error {
-	_, err := fmt.Fprintln(c.Root().Writer, "wigeon-searcher", version)
-	return err
-}
-
-func check(_ context.Context, c *cli.Command) error {
-	if _, err := load(c.String("config")); err != nil {
-		return cli.Exit(err, exitSettings)
-	}
-	_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
-	return err
-}
-
-func serve(_ context.Context, c *cli.Command) error {
-	path := c.String("config")
-	if path == "" {
-		return cli.Exit("wigeon-searcher: --config is required", exitSettings)
-	}
-	loaded, err := load(path)
-	if err != nil {
-		return cli.Exit(err, exitSettings)
+	daemon := cli.Daemon[*loaded]{
+		Name:  process,
+		Usage: "serve generated catalogues as stand-in targets",
+		Load:  load,
+		Run:   run,
 	}
-	return run(loaded)
+	cli.Main(daemon.Command())
 }
 
 // loaded is a settings file and the searchers that it describes.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
@@ -27,6 +28,9 @@
 // number is asked for.
 const DefaultRecords = 2400
 
+// queryWords is the number of words in a generated query.
+const queryWords = 3
+
 // Catalogue is one generated catalogue at all of its index versions. It is
 // safe for concurrent use.
 type Catalogue struct {
@@ -81,21 +85,16 @@
 	return api.ShardID(xxhash.Sum64String(id) % uint64(layoutShards))
 }
 
-// Search returns the hits of one shard, best first.
+// Search returns the hits of one shard, best first. The caller must not change
+// them.
 func (c *Catalogue) Search(layoutShards int, version uint64, shard api.ShardID, query string) []api.Hit {
-	return c.index(layoutShards, version).search(shard, query)
+	return c.index(layoutShards, version).answer(query).byShard[shard]
 }
 
 // Expected returns the full right answer to a query on one snapshot, best hit
-// first.
+// first. The result is the caller's own.
 func Expected(c *Catalogue, layoutShards int, version uint64, query string) []api.Hit {
-	ix := c.index(layoutShards, version)
-	var hits []api.Hit
-	for shard := range layoutShards {
-		hits = append(hits, ix.search(api.ShardID(shard), query)...)
-	}
-	Sort(hits)
-	return hits
+	return slices.Clone(c.index(layoutShards, version).answer(query).all)
 }
 
 // Queries returns n queries that a caller may ask of the catalogue, drawn with
@@ -104,10 +103,9 @@
 	random := newRandom(seed)
 	queries := make([]string, n)
 	for i := range queries {
-		words := c.records[random.IntN(len(c.records))].words
-		first := words[random.IntN(len(words))]
-		second := words[random.IntN(len(words))]
-		queries[i] = strings.Join([]string{first, second}, " ")
+		words := slices.Clone(c.records[random.IntN(len(c.records))].words)
+		random.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+		queries[i] = strings.Join(words[:queryWords], " ")
 	}
 	return queries
 }
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 
 	"wigeonbay/internal/api"
 
@@ -17,10 +18,24 @@
 // scoreSteps is the number of distinct scores.
 const scoreSteps = 1 << 24
 
-// index finds the records of one version by word, shard by shard.
+// maxAnswers bounds the answers that an index keeps.
+const maxAnswers = 4096
+
+// index finds the records of one version by word, shard by shard. It keeps the
+// answers to the queries asked last, so that the stand-ins' own work stays
+// small beside that of the system that is measured.
 type index struct {
 	version uint64
 	shards  []map[string][]entry
+
+	mu      sync.Mutex
+	answers map[string]*answer
+}
+
+// answer is the whole answer to a query: by shard, and all hits, best first.
+type answer struct {
+	byShard map[api.ShardID][]api.Hit
+	all     []api.Hit
 }
 
 // entry is one record as it stands in one version.
@@ -30,7 +45,11 @@
 }
 
 func buildIndex(records []record, key indexKey) *index {
-	ix := &index{version: key.version, shards: make([]map[string][]entry, key.layoutShards)}
+	ix := &index{
+		version: key.version,
+		shards:  make([]map[string][]entry, key.layoutShards),
+		answers: make(map[string]*answer),
+	}
 	for i := range ix.shards {
 		ix.shards[i] = make(map[string][]entry)
 	}
@@ -59,10 +78,30 @@
 	return fmt.Sprintf("%s %s no%d index-v%d", r.id, strings.Join(r.words, " "), figure, version)
 }
 
-func (ix *index) search(shard api.ShardID, query string) []api.Hit {
-	if int(shard) >= len(ix.shards) {
-		return nil
+// answer returns the answer to a query; it must not be changed.
+func (ix *index) answer(query string) *answer {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	a, ok := ix.answers[query]
+	if ok {
+		return a
+	}
+	if len(ix.answers) >= maxAnswers {
+		clear(ix.answers)
+	}
+	a = &answer{byShard: make(map[api.ShardID][]api.Hit)}
+	for shard := range api.ShardID(len(ix.shards)) {
+		if hits := ix.search(shard, query); len(hits) > 0 {
+			a.byShard[shard] = hits
+			a.all = append(a.all, hits...)
+		}
 	}
+	Sort(a.all)
+	ix.answers[query] = a
+	return a
+}
+
+func (ix *index) search(shard api.ShardID, query string) []api.Hit {
 	words := strings.Fields(strings.ToLower(query))
 	if len(words) == 0 {
 		return nil
@@ -84,18 +123,23 @@
 }
 
 func hasWords(text string, words []string) bool {
-	if len(words) == 0 {
-		return true
-	}
-	have := strings.Fields(text)
 	for _, word := range words {
-		if !slices.Contains(have, word) {
+		if !hasWord(text, word) {
 			return false
 		}
 	}
 	return true
 }
 
+func hasWord(text, word string) bool {
+	for have := range strings.FieldsSeq(text) {
+		if have == word {
+			return true
+		}
+	}
+	return false
+}
+
 // score depends on the version, so that a hit of another version differs.
 func score(id string, version uint64, words []string) float64 {
 	return float64(hash(id+"/"+strings.Join(words, " "), version)%scoreSteps) / scoreSteps
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -46,6 +46,11 @@
 	LateWork int64 `json:"late_work"`
 	// RefusedConnections counts connections above a searcher's limit.
 	RefusedConnections int `json:"refused_connections"`
+	// Shed, Late and Cancelled count what the searchers refused for want of
+	// room or of time, and what was given up while it ran.
+	Shed      int64 `json:"target_shed"`
+	Late      int64 `json:"target_late"`
+	Cancelled int64 `json:"target_cancelled"`
 	// Faults explains some of the faulty answers.
 	Faults []string `json:"faults,omitempty"`
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -181,6 +181,9 @@
 			sum.Shards += stats.Shards
 			sum.LongAfterDrain += stats.LongAfterDrain
 			sum.RefusedConnections += stats.RefusedConnections
+			sum.Shed += stats.Shed
+			sum.Late += stats.Late
+			sum.Cancelled += stats.Cancelled
 		}
 	}
 	return sum
@@ -190,6 +193,9 @@
 func (r *Result) stats(before, after searcher.Stats, tally *load.Tally) {
 	r.LateWork = after.LongAfterDrain - before.LongAfterDrain
 	r.RefusedConnections = after.RefusedConnections - before.RefusedConnections
+	r.Shed = after.Shed - before.Shed
+	r.Late = after.Late - before.Late
+	r.Cancelled = after.Cancelled - before.Cancelled
 	if tally.Shards > 0 {
 		r.ExtraLoad = float64(after.Shards-before.Shards)/float64(tally.Shards) - 1
 	}
--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"wigeonbay/internal/api"
-	"wigeonbay/internal/catalogue"
 )
 
 func (s *Searcher) handleSearch(w http.ResponseWriter, r *http.Request) {
@@ -83,12 +82,8 @@
 	totals := make([]int, 0, len(request.Shards))
 	for _, shard := range request.Shards {
 		found := s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)
-		hits = append(hits, found...)
 		totals = append(totals, len(found))
-	}
-	if request.Limit > 0 && len(hits) > request.Limit {
-		catalogue.Sort(hits)
-		hits = hits[:request.Limit]
+		hits = append(hits, best(found, request.Limit)...)
 	}
 	return &api.ShardReply{
 		RequestID: request.RequestID,
@@ -99,3 +94,13 @@
 		Hits:      hits,
 	}
 }
+
+// best returns the best hits of one shard. The limit holds for each shard by
+// itself: the entry node may need only some shards of a reply, and hits of the
+// others must not have taken their place.
+func best(found []api.Hit, limit int) []api.Hit {
+	if limit > 0 && len(found) > limit {
+		return found[:limit]
+	}
+	return found
+}
