--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -42,6 +42,7 @@
 	logger   *zap.Logger
 	pool     *pool.Pool
 	client   *wire.Client
+	trust    trust
 	ledger   *ledgerClient
 	peers    *peers
 
@@ -71,11 +72,16 @@
 	if policy == "" {
 		policy = route.PolicyShipped
 	}
+	trust, err := newTrust(config.TLS)
+	if err != nil {
+		return nil, err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: config,
 		logger:   logger,
-		client:   wire.NewClient(nil),
+		client:   wire.NewClient(trust.dial),
+		trust:    trust,
 		state:    entry.New(entry.Options{DataCentre: config.Node.DataCentre, Policy: policy}),
 		timers:   map[entry.QueryID]*time.Timer{},
 		waiters:  map[entry.QueryID]*waiter{},
@@ -85,7 +91,6 @@
 		stop:     stop,
 	}
 	n.ledger = newLedgerClient(config, n.client)
-	n.peers = newPeers(n)
 	return n, nil
 }
 
@@ -144,7 +149,13 @@
 
 // ready reports whether the balancer may send requests.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.installed.Load() && n.peers.ready()
+	if n.draining.Load() {
+		return false
+	}
+	if n.peers.follows() {
+		return n.peers.ready()
+	}
+	return n.installed.Load()
 }
 
 func (n *Node) listen(ctx context.Context) error {
@@ -162,12 +173,13 @@
 	}
 	n.address = callers.Addr().String()
 	n.rpc = wire.NewServer()
+	n.peers = newPeers(n, rpc.Addr().String())
 	if err := n.peers.register(n.rpc); err != nil {
 		return err
 	}
-	n.rpc.Serve(rpc)
+	n.rpc.Serve(n.trust.wrap(rpc))
 	n.callers = n.serve(callers, n.callersHandler())
-	n.operators = n.serve(operators, n.operatorsHandler())
+	n.operators = n.serve(n.trust.wrap(operators), n.operatorsHandler())
 	return nil
 }
 
