--- a/cmd/wigeon-load/experiment.go
+++ b/cmd/wigeon-load/experiment.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"runtime/pprof"
 	"strings"
@@ -111,7 +110,7 @@
 
 // write writes the JSON lines and then the table.
 func write(c *urfave.Command, results []experiment.Result) error {
-	var lines io.Writer = c.Root().Writer
+	lines := c.Root().Writer
 	if path := c.String(flagLines); path != "" {
 		file, err := os.Create(path)
 		if err != nil {
--- a/internal/experiment/all.go
+++ b/internal/experiment/all.go
@@ -14,7 +14,7 @@
 	// commonLoad is the load of most experiments as a share of the slots.
 	commonLoad = 0.5
 	// nodes is the number of entry nodes of most experiments.
-	nodes = 1
+	nodes = 3
 )
 
 // All returns every experiment, in the order of the bench.
