Entry driver: decode a target's reply before taking the node's lock

Ruled out: another codec (targets speak JSON by their own protocol). Change: the body is decoded and checked first, then the event is given. The tests pass.

--- a/internal/entry/driver/attempts.go
+++ b/internal/entry/driver/attempts.go
@@ -53,27 +53,34 @@
 	}()
 }
 
-// finishShards turns the end of a shard request into an event.
+// finishShards gives the end of a shard request to the reducer. The body is
+// decoded before the lock is taken, since every event of the node needs it.
 func (n *Node) finishShards(id entry.AttemptID, sent api.ShardRequest, reply pool.Reply, err error) {
+	ev, body := shardsResult(id, sent, reply, err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.cancels, id)
+	if body != nil {
+		n.replies[id] = body
+	}
+	n.stepLocked(ev)
+}
+
+// shardsResult turns the end of a shard request into an event, and returns the
+// reply's body if it is good.
+func shardsResult(id entry.AttemptID, sent api.ShardRequest, reply pool.Reply, err error) (entry.Event, *api.ShardReply) {
 	if err != nil {
-		n.stepLocked(failure(id, err))
-		return
+		return failure(id, err), nil
 	}
 	header := headerOf(reply.Header)
 	if reply.Status != http.StatusOK {
-		n.stepLocked(refusal(id, reply, header))
-		return
+		return refusal(id, reply, header), nil
 	}
 	var body api.ShardReply
 	if json.Unmarshal(reply.Body, &body) != nil || !matches(body, sent) {
-		n.stepLocked(entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header})
-		return
+		return entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header}, nil
 	}
-	n.replies[id] = &body
-	n.stepLocked(entry.ShardsReplied{Attempt: id, Snapshot: body.Snapshot, Header: header})
+	return entry.ShardsReplied{Attempt: id, Snapshot: body.Snapshot, Header: header}, &body
 }
 
 // matches reports whether a reply belongs to the request that was sent. One
