Pool test waits until connections are idle, not until they are counted

Cause: TestSilentIdleConnectionIsReplaced failed once under load (3 dialled instead of 4). It waited for the count of open connections, which rises before the dial, so one connection was made after the others were silenced. Ruled out: a fault of the pool (both orders of two closing checks end with the wanted number of connections). Change: the test waits until the connections are idle; what it checks is the same.

--- a/internal/entry/pool/pool_test.go
+++ b/internal/entry/pool/pool_test.go
@@ -85,17 +85,26 @@
 	return p
 }
 
+// awaitIdle waits until want connections are open and idle.
+func awaitIdle(t *testing.T, p *Pool, want int) {
+	t.Helper()
+	a := p.find("a")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if len(a.idle) == want {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections are idle, not %d", len(a.idle), want)
+	})
+}
+
 // fault: silent connection x search
 func TestSilentIdleConnectionIsReplaced(t *testing.T) {
 	d := &cutter{}
 	p := newPool(t, d.dial)
 	p.Configure("a", newServer(t, echo), 4, 2)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if p.Open("a") == 2 {
-			return poll.Success()
-		}
-		return poll.Continue("connections aren't open ahead of need")
-	})
+	awaitIdle(t, p, 2)
 	d.silence()
 	p.Check("a")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -159,19 +168,9 @@
 	p := newPool(t, nil)
 	address := newServer(t, echo)
 	p.Configure("a", address, 5, 5)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if p.Open("a") == 5 {
-			return poll.Success()
-		}
-		return poll.Continue("%d open", p.Open("a"))
-	})
+	awaitIdle(t, p, 5)
 	p.Configure("a", address, 1, 1)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if p.Open("a") == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("%d open", p.Open("a"))
-	})
+	awaitIdle(t, p, 1)
 }
 
 func TestErrorsSayWhetherTheRequestLeft(t *testing.T) {
