Control group: isolation, lost disks and replacement, each caused by a test

Cause: the driver served calls but nothing showed what it answers when cut off, when its disk fails or when a VM is replaced. Seen first: a replica cut off just after a confirmed read said that it had never been current (age -1); a confirmed read now counts, since it proves as much.

--- /dev/null
+++ b/internal/control/driver/commands.go
@@ -0,0 +1,50 @@
+package driver
+
+import (
+	"context"
+
+	"wigeonbay/internal/control/machine"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
+)
+
+// check runs one of the machine's checks before a command is proposed.
+func (n *Node) check(of func(*machine.Machine) error) (controlrpc.Result, bool) {
+	n.machineMu.RLock()
+	defer n.machineMu.RUnlock()
+	if err := of(n.machine); err != nil {
+		return invalid(err.Error()), false
+	}
+	return controlrpc.Result{}, true
+}
+
+func (n *Node) applyHere(ctx context.Context, args *controlrpc.ApplyArgs) controlrpc.ApplyReply {
+	refused, ok := n.check(func(m *machine.Machine) error { return m.CheckTicket(args.Ticket) })
+	if !ok {
+		return controlrpc.ApplyReply{Result: refused}
+	}
+	result, outcome := n.propose(ctx, machine.Command{Kind: machine.KindTicket, Ticket: &args.Ticket})
+	return controlrpc.ApplyReply{Result: outcome, Reply: result.Ticket}
+}
+
+func (n *Node) claimHere(ctx context.Context, args *controlrpc.ClaimArgs) controlrpc.ClaimReply {
+	refused, ok := n.check(func(m *machine.Machine) error { return m.CheckClaim(*args) })
+	if !ok {
+		return controlrpc.ClaimReply{Result: refused}
+	}
+	claim := *args
+	claim.Envelope = wire.Envelope{}
+	result, outcome := n.propose(ctx, machine.Command{Kind: machine.KindClaim, Claim: &claim})
+	return controlrpc.ClaimReply{Result: outcome, Verdict: result.Verdict, Outcome: result.Outcome}
+}
+
+func (n *Node) recordHere(ctx context.Context, args *controlrpc.RecordArgs) controlrpc.RecordReply {
+	refused, ok := n.check(func(m *machine.Machine) error { return m.CheckRecord(*args) })
+	if !ok {
+		return controlrpc.RecordReply{Result: refused}
+	}
+	record := *args
+	record.Envelope = wire.Envelope{}
+	_, outcome := n.propose(ctx, machine.Command{Kind: machine.KindRecord, Record: &record})
+	return controlrpc.RecordReply{Result: outcome}
+}
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -99,6 +100,24 @@
 	assert.NilError(g.t, node.Stop())
 }
 
+// kill ends a replica at once: calls under way are cut off.
+func (g *group) kill(id string) {
+	node := g.nodes[id]
+	delete(g.nodes, id)
+	node.cancel()
+	node.peers.wait()
+	node.client.Close()
+	node.server.Close()
+	node.running.Wait()
+	assert.NilError(g.t, node.log.Close())
+}
+
+// loseDisk kills a replica and empties its data folder.
+func (g *group) loseDisk(id string) {
+	g.kill(id)
+	assert.NilError(g.t, os.RemoveAll(filepath.Join(g.folder, id)))
+}
+
 func (g *group) peer(id string) settings.Peer {
 	for _, peer := range g.members {
 		if peer.ID == id {
@@ -149,7 +168,10 @@
 
 func (g *group) status(id string) controlrpc.StatusReply {
 	var reply controlrpc.StatusReply
-	assert.NilError(g.t, g.call(g.peer(id).Address, controlrpc.MethodStatus, &controlrpc.StatusArgs{}, &reply))
+	g.until("status of "+id, func() error {
+		reply = controlrpc.StatusReply{}
+		return g.call(g.peer(id).Address, controlrpc.MethodStatus, &controlrpc.StatusArgs{}, &reply)
+	})
 	return reply
 }
 
@@ -210,12 +232,13 @@
 	}
 }
 
+// fault: kill x ticket
 func TestGroupSurvivesItsLeader(t *testing.T) {
 	g := newGroup(t, "a", "b", "c")
 	g.startAll()
 	g.mustApply("a", 1)
 	leader := g.leader()
-	g.stop(leader)
+	g.kill(leader)
 	second := g.other(leader)
 	assert.Equal(t, g.mustApply(second, 2).Version, uint64(2))
 	g.start(g.peer(leader), Options{}, false)
@@ -228,6 +251,10 @@
 	})
 }
 
+// TestGroupComesBackFromItsDisks restarts every replica after many changes.
+//
+// fault: restart-after-changes x ticket
+// fault: restart-after-changes x restart
 func TestGroupComesBackFromItsDisks(t *testing.T) {
 	g := newGroup(t, "a", "b", "c")
 	g.startAll()
--- a/internal/control/driver/network_test.go
+++ b/internal/control/driver/network_test.go
@@ -43,3 +43,22 @@
 	defer n.mu.Unlock()
 	return n.cut[a] || n.cut[b]
 }
+
+// isolate cuts a replica off from the others; clients still reach it.
+func (n *network) isolate(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+	for conn, ends := range n.conns {
+		if ends[0] == address || ends[1] == address {
+			_ = conn.Close()
+			delete(n.conns, conn)
+		}
+	}
+}
+
+func (n *network) heal(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, address)
+}
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -37,6 +37,7 @@
 	random   *rand.Rand
 	shot     snapshotState // owned by the loop
 	disk     *diskQueue
+	calls    *calls
 	view     atomic.Pointer[view]
 	changed  *broadcast // of the view's leader or role
 	nextID   atomic.Uint64
@@ -88,6 +89,7 @@
 	n.waiters = newWaiters()
 	n.random = rand.New(rand.NewPCG(n.o.Seed, 0))
 	n.disk = newDiskQueue()
+	n.calls = newCalls()
 	n.changed = newBroadcast()
 	n.applied = newBroadcast()
 	n.stop, n.cancel = context.WithCancel(context.Background())
@@ -169,12 +171,12 @@
 // Address returns the peers' address that the node listens on.
 func (n *Node) Address() string { return n.listener.Addr().String() }
 
-// Stop ends the node: calls that wait are answered, then the log is closed.
+// Stop ends the node: new calls are refused, those under way finish, then the
+// log is closed.
 func (n *Node) Stop() error {
+	n.calls.drain()
+	time.Sleep(replyLinger)
 	n.cancel()
-	n.applied.signal()
-	n.changed.signal()
-	n.disk.wake()
 	n.peers.wait()
 	n.client.Close()
 	n.server.Close()
--- a/internal/control/driver/peer_service.go
+++ b/internal/control/driver/peer_service.go
@@ -57,32 +57,48 @@
 
 // Apply is Control.Apply for a replica that takes this one for the leader.
 func (p *peerService) Apply(args *controlrpc.ApplyArgs, reply *controlrpc.ApplyReply) error {
-	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
-	defer cancel()
+	ctx, done, ok := p.n.begin(args.Envelope, 0)
+	if !ok {
+		reply.Result = stoppingResult()
+		return nil
+	}
+	defer done()
 	*reply = p.n.applyHere(ctx, args)
 	return nil
 }
 
 // Claim is Control.Claim for a replica that takes this one for the leader.
 func (p *peerService) Claim(args *controlrpc.ClaimArgs, reply *controlrpc.ClaimReply) error {
-	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
-	defer cancel()
+	ctx, done, ok := p.n.begin(args.Envelope, 0)
+	if !ok {
+		reply.Result = stoppingResult()
+		return nil
+	}
+	defer done()
 	*reply = p.n.claimHere(ctx, args)
 	return nil
 }
 
 // Record is Control.Record for a replica that takes this one for the leader.
 func (p *peerService) Record(args *controlrpc.RecordArgs, reply *controlrpc.RecordReply) error {
-	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
-	defer cancel()
+	ctx, done, ok := p.n.begin(args.Envelope, 0)
+	if !ok {
+		reply.Result = stoppingResult()
+		return nil
+	}
+	defer done()
 	*reply = p.n.recordHere(ctx, args)
 	return nil
 }
 
 // Replace is Control.Replace for a replica that takes this one for the leader.
 func (p *peerService) Replace(args *controlrpc.ReplaceArgs, reply *controlrpc.ReplaceReply) error {
-	ctx, cancel := args.Envelope.Context(controlrpc.DefaultCallTimeout)
-	defer cancel()
+	ctx, done, ok := p.n.begin(args.Envelope, 0)
+	if !ok {
+		reply.Result = stoppingResult()
+		return nil
+	}
+	defer done()
 	*reply = p.n.replaceHere(ctx, args)
 	return nil
 }
--- a/internal/control/driver/propose.go
+++ b/internal/control/driver/propose.go
@@ -28,7 +28,7 @@
 	case <-ctx.Done():
 		return machine.Result{}, neverApplied(controlrpc.CodeNoQuorum, "the replica is too busy")
 	case <-n.stop.Done():
-		return machine.Result{}, neverApplied(controlrpc.CodeStopping, errStopping.Error())
+		return machine.Result{}, stoppingResult()
 	}
 	d := n.await(ctx, done)
 	return d.result, n.outcome(d)
@@ -89,7 +89,7 @@
 	case <-ctx.Done():
 		return neverApplied(controlrpc.CodeNoQuorum, "the replica is too busy")
 	case <-n.stop.Done():
-		return neverApplied(controlrpc.CodeStopping, errStopping.Error())
+		return stoppingResult()
 	}
 	select {
 	case ok := <-done:
@@ -98,7 +98,7 @@
 		}
 	case <-ctx.Done():
 	case <-n.stop.Done():
-		return neverApplied(controlrpc.CodeStopping, errStopping.Error())
+		return stoppingResult()
 	}
 	return neverApplied(controlrpc.CodeNoQuorum, "no quorum confirmed the read")
 }
--- a/internal/control/driver/replace.go
+++ b/internal/control/driver/replace.go
@@ -66,6 +66,7 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
+	case <-n.calls.stopping:
 	case <-n.stop.Done():
 	}
 	return false
--- a/internal/control/driver/route.go
+++ b/internal/control/driver/route.go
@@ -10,48 +10,71 @@
 	"wigeonbay/internal/wire"
 )
 
-// route carries a call out at the leader: here, or at the replica that leads.
-// It tries again only when the last try certainly had no effect.
-func (n *Node) route(ctx context.Context, here func() controlrpc.Result, there func(address string) error, result *controlrpc.Result) {
+// routed is a call that only the leader can carry out, with a reply of type R.
+type routed[R any] struct {
+	// here carries it out at this replica.
+	here func() R
+	// method and args carry it out at the replica that leads.
+	method string
+	args   any
+	// result finds the head of a reply.
+	result func(*R) *controlrpc.Result
+}
+
+// route carries a call out at the leader, wherever that is. It tries again only
+// when the last try certainly had no effect.
+func route[R any](ctx context.Context, n *Node, call routed[R]) R {
 	giveUp := time.NewTimer(n.patience())
 	defer giveUp.Stop()
 	for {
 		changed := n.changed.next()
-		n.attempt(here, there, result)
-		if !mayRetry(*result) {
-			return
+		reply := attempt(ctx, n, call)
+		if !n.mayRetry(*call.result(&reply)) {
+			return reply
 		}
-		retry := time.NewTimer(n.set.Replication.Heartbeat)
-		select {
-		case <-changed:
-		case <-retry.C:
-		case <-giveUp.C:
-			retry.Stop()
-			*result = neverApplied(controlrpc.CodeNoQuorum, "no leader within reach")
-			return
-		case <-ctx.Done():
-			retry.Stop()
-			*result = neverApplied(controlrpc.CodeNoQuorum, "no leader within reach")
-			return
+		if n.awaitLeader(ctx, changed, giveUp.C) {
+			continue
 		}
-		retry.Stop()
+		*call.result(&reply) = neverApplied(controlrpc.CodeNoQuorum, "no leader within reach")
+		return reply
 	}
 }
 
-func (n *Node) attempt(here func() controlrpc.Result, there func(address string) error, result *controlrpc.Result) {
+func attempt[R any](ctx context.Context, n *Node, call routed[R]) R {
+	var reply R
 	v := n.view.Load()
 	switch {
 	case n.stop.Err() != nil:
-		*result = neverApplied(controlrpc.CodeStopping, errStopping.Error())
+		*call.result(&reply) = stoppingResult()
 	case v.role == replica.RoleLeader:
-		*result = here()
+		reply = call.here()
 	case v.leaderAddress == "":
-		*result = n.notLeader()
+		*call.result(&reply) = n.notLeader()
 	default:
-		if err := there(v.leaderAddress); err != nil {
-			*result = forwardFailed(err)
+		if err := n.client.Call(ctx, v.leaderAddress, call.method, call.args, &reply); err != nil {
+			var none R
+			reply = none
+			*call.result(&reply) = forwardFailed(err)
 		}
 	}
+	return reply
+}
+
+// awaitLeader waits until another try may do better, and reports false when it
+// is time to give up.
+func (n *Node) awaitLeader(ctx context.Context, changed <-chan struct{}, giveUp <-chan time.Time) bool {
+	retry := time.NewTimer(n.set.Replication.Heartbeat)
+	defer retry.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-retry.C:
+		return true
+	case <-giveUp:
+	case <-ctx.Done():
+	case <-n.stop.Done():
+	}
+	return false
 }
 
 // forwardFailed tells what is known when the leader did not answer: only a call
@@ -64,12 +87,20 @@
 	}
 }
 
-func mayRetry(r controlrpc.Result) bool {
-	return r.NotApplied && (r.Code == controlrpc.CodeNotLeader || r.Code == controlrpc.CodeNoQuorum)
+// mayRetry reports whether another replica may yet carry the call out.
+func (n *Node) mayRetry(r controlrpc.Result) bool {
+	if !r.NotApplied || n.stop.Err() != nil {
+		return false
+	}
+	switch r.Code {
+	case controlrpc.CodeNotLeader, controlrpc.CodeNoQuorum, controlrpc.CodeStopping:
+		return true
+	}
+	return false
 }
 
 // patience is how long a call waits for a leader: through an election when the
-// replica was current a moment ago, not at all when it is cut off.
+// replica was current a moment ago, hardly at all when it is cut off.
 func (n *Node) patience() time.Duration {
 	election := n.set.Replication.ElectionTimeout
 	age, ok := n.quorumAge()
--- a/internal/control/replica/random_test.go
+++ b/internal/control/replica/random_test.go
@@ -155,6 +155,11 @@
 
 // TestSafetyUnderLongWalks goes deeper than the property test can: walks of
 // thousands of events, after which the group must settle with nothing lost.
+//
+// fault: two-at-once x ticket
+// fault: delayed-replies x ticket
+// fault: delayed-replies x repair
+// fault: kill x repair
 func TestSafetyUnderLongWalks(t *testing.T) {
 	const walks, steps = 60, 4000
 	total := map[string]int{}
--- a/internal/control/replica/read.go
+++ b/internal/control/replica/read.go
@@ -84,6 +84,7 @@
 		case r.confirmed && !r.from.IsZero():
 			s.send(r.from, ReadReply{ID: r.id, Boot: r.boot, OK: true, Index: r.index})
 		case r.confirmed && s.applied >= r.index:
+			s.currentAt = max(s.currentAt, r.asked)
 			s.emit(ReadReady{ID: r.id})
 		default:
 			kept = append(kept, r)
--- a/internal/control/replica/scenario_test.go
+++ b/internal/control/replica/scenario_test.go
@@ -50,6 +50,9 @@
 	assert.Assert(t, sim.maxAcked() >= lead.state.membersIndex, "change was not committed")
 }
 
+// TestFrozenLeaderAnswersNoRead freezes the leader while another is elected.
+//
+// fault: stop-continue x ticket
 func TestFrozenLeaderAnswersNoRead(t *testing.T) {
 	sim := settled(t)
 	old := sim.leader()
@@ -122,6 +125,10 @@
 	sim.changeNow(t, Promote{fresh})
 }
 
+// TestSecondLossRightAfterRepairLosesNothing empties the leader's disk as soon as
+// another one's loss is repaired.
+//
+// fault: two-at-once x repair
 func TestSecondLossRightAfterRepairLosesNothing(t *testing.T) {
 	sim := settled(t)
 	for i := range 20 {
--- a/internal/control/wal/fault_test.go
+++ b/internal/control/wal/fault_test.go
@@ -97,6 +97,12 @@
 	return done, nil
 }
 
+// TestEveryFaultAtEveryStepKeepsWhatWasAcknowledged breaks a script of every
+// kind of write at each of its steps.
+//
+// fault: failed-sync x ticket
+// fault: failed-sync x restart
+// fault: kill x restart
 func TestEveryFaultAtEveryStepKeepsWhatWasAcknowledged(t *testing.T) {
 	whole := newFakeFS()
 	total, err := play(whole)
