--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,8 @@
 faults-doc:
 	$(GO) run ./internal/tools/faultmatrix > docs/FAULTS.md.new
 	mv docs/FAULTS.md.new docs/FAULTS.md
+
+# Measures the policies side by side; see docs/design/BENCH.md.
+bench:
+	@mkdir -p bin
+	$(GO) run ./cmd/wigeon-load bench --lines bin/bench.jsonl --plot bin/bench.svg
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -21,6 +21,9 @@
 	Measured int
 	// Deadline is that of each search.
 	Deadline time.Duration
+	// Even spaces the arrivals evenly, and the policies' between each other's,
+	// so that one policy's burst of work isn't measured as the other's.
+	Even bool
 	// ClientDelay is the one-way delay between callers and entry nodes, added
 	// to each latency twice.
 	ClientDelay time.Duration
--- a/internal/experiment/shapes.go
+++ b/internal/experiment/shapes.go
@@ -16,6 +16,10 @@
 	spread = 0.25
 	// extraLoadPercent is the budget for hedges and retries.
 	extraLoadPercent = 2
+	// shortLease and longLease are leases of announcements; the long one keeps
+	// the renewals of many small stand-ins from being a load of their own.
+	shortLease = 3 * time.Second
+	longLease  = 30 * time.Second
 )
 
 // lots and declarations are shared by all searchers of the process.
@@ -47,6 +51,7 @@
 		AcceptDelay: 6 * time.Millisecond,
 		ServiceTime: 10 * time.Millisecond,
 		Spread:      spread,
+		Lease:       shortLease,
 	}
 }
 
@@ -108,9 +113,13 @@
 }
 
 // wideShape is one service of 1,200 small stand-ins, each with its own shard.
+// They have few slots and connections, since both ends of every connection
+// count against this one process's limit of open files.
 func wideShape() testbed.ServiceShape {
 	shape := coreShape("wide")
 	shape.Shards, shape.Searchers = 1200, 1200
+	shape.Slots, shape.Queue, shape.Connections = 2, 2, 3
 	shape.ServiceTime = 5 * time.Millisecond
+	shape.Lease = longLease
 	return shape
 }
--- a/internal/testbed/shape.go
+++ b/internal/testbed/shape.go
@@ -33,6 +33,8 @@
 	// ServiceTime and Spread describe the log-normal service time.
 	ServiceTime time.Duration
 	Spread      float64
+	// Lease is that of the searchers' announcements.
+	Lease time.Duration
 }
 
 // ShardsOf returns the shards that a searcher holds.
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -19,8 +19,9 @@
 
 // Times of the testbed.
 const (
-	// lease is that of the searchers' announcements.
-	lease = 3 * time.Second
+	// silentLinger is how long a searcher counts a silent connection that its
+	// client has closed.
+	silentLinger = 3 * time.Second
 	// readyTimeout bounds the time until every service answers whole.
 	readyTimeout = 30 * time.Second
 	// readyDeadline is the deadline of the searches that find that out.
@@ -206,8 +207,8 @@
 		NetworkDelay: shape.NetworkDelay,
 		ServiceTime:  shape.ServiceTime,
 		Spread:       shape.Spread,
-		Lease:        lease,
-		SilentLinger: lease,
+		Lease:        shape.Lease,
+		SilentLinger: silentLinger,
 		Seed:         b.plan.Seed + uint64(number),
 		Client:       b.announcer,
 	}
