Configuration sync: a node cut off settles, and a slow control is left alone

Change: judge before asking again; a control that was avoided must answer its first poll in time and is forgiven after the second.

--- a/internal/configsync/follow/follow.go
+++ b/internal/configsync/follow/follow.go
@@ -65,7 +65,7 @@
 	}
 	if e.Token == s.poll {
 		s.poll = 0
-		if s.current.Version == before {
+		if good && s.current.Version == before {
 			s.pollAt = a.at.Add(s.timing.PollInterval)
 		}
 	}
@@ -101,7 +101,8 @@
 
 // judgeControl decides whether to stay with a control process: one that is
 // silent, slow, behind this node or long without a quorum is avoided for a
-// while.
+// while. One that was avoided must answer its first poll in time, and is
+// forgiven only after a second good one.
 func (s *State) judgeControl(a ask, e ControlAnswered, good bool) {
 	c := a.control
 	if s.now.Sub(a.at) > a.wait+s.timing.Slow {
@@ -111,12 +112,15 @@
 	}
 	age := quorumAge(e.Reply)
 	isolated := age < 0 || age > s.timing.MaxQuorumAge
-	if !good || isolated || c.slow >= s.timing.SlowLimit {
+	slow := c.slow >= s.timing.SlowLimit || c.slow > 0 && !c.trusted
+	if !good || isolated || slow {
 		s.avoid(c)
 		return
 	}
+	if c.trusted {
+		c.avoid = 0
+	}
 	c.trusted = true
-	c.avoid = 0
 }
 
 func (s *State) avoid(c *control) {
@@ -126,6 +130,7 @@
 	c.avoidUntil = s.now.Add(c.avoid + spread)
 	c.trusted = false
 	c.slow = 0
+	s.pollAt = s.now
 }
 
 // pollPeer asks a random node of the data centre for its version; without one,
--- a/internal/configsync/follow/recover.go
+++ b/internal/configsync/follow/recover.go
@@ -17,6 +17,11 @@
 // It asks the data centre's nodes too, for when there is no quorum.
 func (s *State) recover() {
 	r := &s.recovery
+	late := s.now.Sub(s.started) >= s.timing.RecoverBound
+	if late && r.answered && s.roundDone() {
+		s.becomeReady(NoteReadyUnconfirmed)
+		return
+	}
 	if r.roundAt.IsZero() || s.now.Sub(r.roundAt) >= s.timing.RecoverRound && s.roundDone() {
 		r.roundAt = s.now
 		r.next = 0
@@ -26,10 +31,6 @@
 		s.askControl(s.controls[r.next], s.current.Version, 0, true)
 		r.next++
 	}
-	late := s.now.Sub(s.started) >= s.timing.RecoverBound
-	if late && r.answered && s.roundDone() {
-		s.becomeReady(NoteReadyUnconfirmed)
-	}
 }
 
 // roundDone reports whether everybody has been asked and has answered or
