Benchmark of what membership costs a node

Cause: docs/CAPACITY.md needs slopes, and nothing was measured. Ruled out: real processes for this; 300 of them say more about the machine. Change: BenchmarkSlopes runs the reducers over virtual time, with encoding and decoding, and counts bytes by kind.

--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -24,6 +24,7 @@
 	queue   eventQueue
 	order   uint64
 	nodes   map[string]*simNode
+	started []*simNode
 	address map[string]*simNode
 	seeds   []Seed
 	timing  Timing
@@ -35,6 +36,8 @@
 	cut func(from, to *simNode) bool
 	// onEffect, when set, sees each effect of a node.
 	onEffect func(n *simNode, e Effect)
+	// onSent, when set, sees the size of each encoded message.
+	onSent func(kind MessageKind, bytes int)
 	// encode makes every message go through its encoding, to count bytes.
 	encode bool
 }
@@ -128,6 +131,7 @@
 	}, s.now)
 	s.nodes[id] = n
 	s.address[id] = n
+	s.started = append(s.started, n)
 	s.after(time.Duration(s.random.Int64N(int64(TickInterval))), func() { s.tick(n) })
 	return n
 }
@@ -191,6 +195,9 @@
 		body, err := m.Encode()
 		assert.NilError(s.t, err)
 		n.sentBytes += len(body)
+		if s.onSent != nil {
+			s.onSent(m.Kind, len(body))
+		}
 		m, err = DecodeMessage(body)
 		assert.NilError(s.t, err)
 	}
@@ -281,6 +288,17 @@
 	return true
 }
 
+// anyLive returns a random live node of a data centre.
+func (s *sim) anyLive(dc string) *simNode {
+	for range 100 {
+		n := s.started[s.random.IntN(len(s.started))]
+		if n.dc == dc && !n.down && !n.frozen {
+			return n
+		}
+	}
+	return nil
+}
+
 // everywhere reports whether every live node of the given data centres, all
 // when none is given, sees a target in a state.
 func (s *sim) everywhere(id api.TargetID, state api.TargetState, dcs ...string) bool {
@@ -361,14 +379,7 @@
 		}
 		next := a.LeaseMS / renewalsPerLease
 		defer func() { s.after(time.Duration(next)*time.Millisecond, renew) }()
-		var near []*simNode
-		for _, n := range s.live() {
-			if n.dc == a.DataCentre {
-				near = append(near, n)
-			}
-		}
-		if len(near) > 0 {
-			n := near[s.random.IntN(len(near))]
+		if n := s.anyLive(a.DataCentre); n != nil {
 			s.step(n, Announced{At: s.now, Announcement: a})
 			next = n.reply.RenewMS
 		}
--- /dev/null
+++ b/internal/membership/slopes_test.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// BenchmarkSlopes measures what membership costs one node, with many reducers
+// in one process and virtual time: bytes sent and messages a second, by kind,
+// processor time (encoding and decoding included) and memory.
+//
+//	go test -run '^$' -bench Slopes -benchtime 1x ./internal/membership
+func BenchmarkSlopes(b *testing.B) {
+	cases := []struct {
+		nodes, targets int
+		// changes is the number of changes of state a second in the whole
+		// data centre.
+		changes int
+	}{
+		{8, 1000, 0}, {32, 1000, 0}, {128, 1000, 0}, {300, 1000, 0},
+		{32, 100, 0}, {32, 10_000, 0},
+		{8, 1000, 1}, {32, 1000, 1}, {128, 1000, 1}, {300, 1000, 1},
+		{32, 10_000, 1},
+	}
+	for _, c := range cases {
+		name := fmt.Sprintf("nodes=%d/targets=%d/changes=%d", c.nodes, c.targets, c.changes)
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				measureSlope(b, c.nodes, c.targets, c.changes)
+			}
+		})
+	}
+}
+
+const (
+	slopeSeconds = 20
+	slopeLease   = 30 * time.Second
+)
+
+func measureSlope(b *testing.B, nodes, targets, changes int) {
+	before := heapBytes()
+	s := preloaded(b, nodes, targets)
+	perNode := float64(heapBytes()-before) / float64(nodes)
+	s.encode = true
+	s.run(3 * time.Second)
+
+	kinds := map[MessageKind]int{}
+	s.onSent = func(kind MessageKind, bytes int) { kinds[kind] += bytes }
+	for _, n := range s.nodes {
+		n.sentMsgs, n.sentBytes = 0, 0
+	}
+	began := cpuTime()
+	for second := range slopeSeconds {
+		for i := range changes {
+			id := second*changes + i
+			s.announce(nodeID("oeste", id%nodes), announcement(targetID(id%targets), "oeste", 2, api.TargetDraining))
+		}
+		s.run(time.Second)
+	}
+	cpu := cpuTime() - began
+	var bytes, messages int
+	for _, n := range s.nodes {
+		bytes += n.sentBytes
+		messages += n.sentMsgs
+	}
+	perSecond := float64(nodes * slopeSeconds)
+	b.ReportMetric(float64(bytes)/perSecond, "B/s/node")
+	b.ReportMetric(float64(messages)/perSecond, "msgs/s/node")
+	b.ReportMetric(float64(cpu.Microseconds())/perSecond, "cpu-µs/s/node")
+	b.ReportMetric(perNode/1024, "KiB/node")
+	b.ReportMetric(0, "ns/op")
+	b.Log(kindTable(kinds, perSecond))
+}
+
+func kindTable(kinds map[MessageKind]int, perSecond float64) string {
+	var list []string
+	for _, kind := range Kinds() {
+		if kinds[kind] > 0 {
+			list = append(list, fmt.Sprintf("%s %.1f", kind, float64(kinds[kind])/perSecond))
+		}
+	}
+	return "B/s/node by kind: " + strings.Join(list, ", ")
+}
+
+// preloaded returns a data centre whose nodes know each other and all targets,
+// each of which renews at random nodes.
+func preloaded(b *testing.B, nodes, targets int) *sim {
+	s := newSim(b, nodes, "oeste")
+	for _, n := range s.nodes {
+		n.state.muted = true
+		for _, other := range s.nodes {
+			if other != n {
+				n.state.applyMember(other.state.Self(), other.id)
+			}
+		}
+	}
+	for i := range targets {
+		a := announcement(targetID(i), "oeste", 1, api.TargetReady)
+		a.LeaseMS = slopeLease.Milliseconds()
+		for _, n := range s.nodes {
+			n.state.applyTarget(TargetRecord{Announcement: a}, "")
+		}
+		offset := time.Duration(s.random.Int64N(int64(slopeLease / renewalsPerLease)))
+		s.after(offset, func() { s.renewing(a) })
+	}
+	for _, n := range s.nodes {
+		n.state.muted = false
+		n.state.effects = nil
+	}
+	return s
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
