--- a/internal/membership/slopes_test.go
+++ b/internal/membership/slopes_test.go
@@ -133,3 +133,31 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkTargetMemory measures the memory of one target's record in a node
+// that learned it from a peer.
+//
+//	go test -run '^$' -bench TargetMemory -benchtime 1x ./internal/membership
+func BenchmarkTargetMemory(b *testing.B) {
+	const targets = 68_000
+	for b.Loop() {
+		s := New(Config{Self: Member{ID: "a", DataCentre: "oeste", Incarnation: 1}, Timing: DefaultTiming()}, time.Unix(0, 0))
+		s.muted = true
+		before := heapBytes()
+		for i := 0; i < targets; i += 100 {
+			m := Message{Kind: KindRecords, From: "b"}
+			for j := range 100 {
+				m.Targets = append(m.Targets, TargetRecord{Announcement: announcement(targetID(i+j), "serra", 1, "ready")})
+			}
+			body, err := m.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			m, _ = DecodeMessage(body)
+			s.takeRecords(m)
+			s.effects = nil
+		}
+		b.ReportMetric(float64(heapBytes()-before)/targets, "B/target")
+		runtime.KeepAlive(s)
+	}
+}
