Spread the contact between data centres over the nodes

Cause: two nodes of a data centre kept contact with all others: with 14 data centres of 20 nodes and a change a second in each, the busiest node sent 14,309 B/s (bench DataCentres), above the 6 KB/s a node may spend. Ruled out: a chain or tree of data centres; a cut in it parts the rest. Change: the two bridges are chosen for each pair of data centres. Conclusion: kept; the contact no longer grows with the data centres a node.

--- a/internal/membership/bridge.go
+++ b/internal/membership/bridge.go
@@ -3,41 +3,60 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // bridging is what a bridge knows of its contact with other data centres.
 type bridging struct {
 	// heard says when each other data centre was last heard from.
 	heard map[string]time.Time
-	// cache holds the bridges of each data centre for one version of the
-	// members.
-	cache   map[string][]*memberEntry
+	// active holds the data centres that this node is a bridge to.
+	active map[string]bool
+	// cache holds the bridges of each pair of data centres for one version of
+	// the members.
+	cache   map[dataCentrePair][]*memberEntry
 	version uint64
-	active  bool
 }
 
-// bridgesOf returns the members that keep contact for a data centre: those
-// with the highest rendezvous hashes.
-func (s *State) bridgesOf(dataCentre string) []*memberEntry {
+// dataCentrePair names a data centre and another one that it keeps contact
+// with.
+type dataCentrePair struct {
+	from, to string
+}
+
+// bridges returns the members of a data centre that keep contact with another:
+// those with the highest rendezvous hashes for the pair, so that in a large
+// data centre each other one is kept by other nodes.
+func (s *State) bridges(from, to string) []*memberEntry {
 	if s.bridging.version != s.membersVersion || s.bridging.cache == nil {
-		s.bridging.cache = map[string][]*memberEntry{}
+		s.bridging.cache = map[dataCentrePair][]*memberEntry{}
 		s.bridging.version = s.membersVersion
 	}
-	bridges, ok := s.bridging.cache[dataCentre]
+	pair := dataCentrePair{from: from, to: to}
+	list, ok := s.bridging.cache[pair]
 	if !ok {
-		bridges = highest(s.listed[dataCentre], s.timing.Bridges, func(e *memberEntry) uint64 { return e.score })
-		s.bridging.cache[dataCentre] = bridges
+		other := xxhash.Sum64String(to)
+		list = highest(s.listed[from], s.timing.Bridges, func(e *memberEntry) uint64 {
+			return mix(e.score ^ other)
+		})
+		s.bridging.cache[pair] = list
 	}
-	return bridges
+	return list
 }
 
-// isBridge reports whether this node keeps contact with other data centres. A
+// isBridge reports whether this node keeps contact with another data centre. A
 // node that leaves does, for its last word: it may have been the only one.
-func (s *State) isBridge() bool {
+func (s *State) isBridge(to string) bool {
 	if !s.leaving.IsZero() {
 		return true
 	}
-	return containsMember(s.bridgesOf(s.me().DataCentre), s.self)
+	return containsMember(s.bridges(s.me().DataCentre, to), s.self)
+}
+
+// farBridges returns the bridges of another data centre to this one.
+func (s *State) farBridges(dataCentre string) []*memberEntry {
+	return s.bridges(dataCentre, s.me().DataCentre)
 }
 
 // otherDataCentres returns the data centres that have members, but this one.
@@ -48,32 +67,27 @@
 	})
 }
 
-// bridge contacts each other data centre and keeps the list of those that
-// aren't heard from.
+// bridge contacts the data centres that this node is a bridge to, and keeps the
+// list of those that aren't heard from.
 func (s *State) bridge() {
 	if s.me().State == MemberLeft {
 		return
 	}
-	if !s.isBridge() {
-		s.bridging.active = false
-		s.setUnreached(nil)
-		return
-	}
-	if !s.bridging.active {
-		s.bridging.active = true
-		clear(s.bridging.heard)
-	}
 	var unreached []string
 	for _, dc := range s.otherDataCentres() {
-		heard, ok := s.bridging.heard[dc]
-		if !ok {
-			heard = s.now
-			s.bridging.heard[dc] = heard
+		if !s.isBridge(dc) {
+			delete(s.bridging.active, dc)
+			continue
+		}
+		if !s.bridging.active[dc] {
+			s.bridging.active[dc] = true
+			s.bridging.heard[dc] = s.now
 		}
-		if s.now.Sub(heard) > s.timing.UnreachedAfter {
+		silence := s.now.Sub(s.bridging.heard[dc])
+		if silence > s.timing.UnreachedAfter {
 			unreached = append(unreached, dc)
 		}
-		s.contact(dc, s.now.Sub(heard) > 2*s.timing.BridgeInterval)
+		s.contact(dc, silence > 2*s.timing.BridgeInterval)
 	}
 	if !s.quiet() {
 		s.setUnreached(unreached)
@@ -83,7 +97,7 @@
 // contact compares digests with a bridge of another data centre, or with any
 // member of it when its bridges are silent.
 func (s *State) contact(dataCentre string, silent bool) {
-	list := s.bridgesOf(dataCentre)
+	list := s.farBridges(dataCentre)
 	if silent {
 		list = s.listed[dataCentre]
 	}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -157,16 +157,16 @@
 		return peers
 	}
 	for _, dc := range s.otherDataCentres() {
-		peers = append(peers, s.bridgesOf(dc)...)
+		if s.isBridge(dc) {
+			peers = append(peers, s.farBridges(dc)...)
+		}
 	}
 	return peers
 }
 
-// crosses reports whether this node carries a rumour to other data centres.
+// crosses reports whether the bridges of this data centre carry a rumour to
+// the others: each data centre spreads its own news.
 func (s *State) crosses(r *rumour) bool {
-	if !s.isBridge() {
-		return false
-	}
 	home := s.home(r.key)
 	return home == s.me().DataCentre || len(s.listed[home]) == 0
 }
@@ -198,15 +198,15 @@
 	for _, peer := range local {
 		s.pushTo(peer, rumours)
 	}
-	if !s.isBridge() {
-		return
-	}
 	crossing := slices.DeleteFunc(slices.Clone(rumours), func(r *rumour) bool { return !s.crosses(r) })
 	if len(crossing) == 0 {
 		return
 	}
 	for _, dc := range s.otherDataCentres() {
-		for _, peer := range s.bridgesOf(dc) {
+		if !s.isBridge(dc) {
+			continue
+		}
+		for _, peer := range s.farBridges(dc) {
 			s.pushTo(peer, crossing)
 		}
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -110,7 +110,7 @@
 		if len(list) >= s.timing.IndirectProbes {
 			break
 		}
-		if bridges := s.bridgesOf(dc); len(bridges) > 0 {
+		if bridges := s.farBridges(dc); len(bridges) > 0 {
 			list = append(list, bridges[0])
 		}
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -103,7 +103,7 @@
 		s.members[id].suspectAt = s.now
 	}
 	s.restartLeases()
-	clear(s.bridging.heard)
+	clear(s.bridging.active)
 	s.sched.sync = s.now
 	if gap >= s.timing.Retention {
 		s.forgetAll()
--- a/internal/membership/slopes_test.go
+++ b/internal/membership/slopes_test.go
@@ -95,28 +95,34 @@
 // each of which renews at random nodes.
 func preloaded(b *testing.B, nodes, targets int) *sim {
 	s := newSim(b, nodes, "oeste")
-	for _, n := range s.nodes {
-		n.state.muted = true
-		for _, other := range s.nodes {
-			if other != n {
-				n.state.applyMember(other.state.Self(), other.id)
-			}
-		}
-	}
+	s.meetAll()
 	for i := range targets {
 		a := announcement(targetID(i), "oeste", 1, api.TargetReady)
 		a.LeaseMS = slopeLease.Milliseconds()
 		for _, n := range s.nodes {
+			n.state.muted = true
 			n.state.applyTarget(TargetRecord{Announcement: a}, "")
+			n.state.muted = false
+			n.state.effects = nil
 		}
 		offset := time.Duration(s.random.Int64N(int64(slopeLease / renewalsPerLease)))
 		s.after(offset, func() { s.renewing(a) })
 	}
+	return s
+}
+
+// meetAll makes every node know every other one.
+func (s *sim) meetAll() {
 	for _, n := range s.nodes {
+		n.state.muted = true
+		for _, other := range s.nodes {
+			if other != n {
+				n.state.applyMember(other.state.Self(), other.id)
+			}
+		}
 		n.state.muted = false
 		n.state.effects = nil
 	}
-	return s
 }
 
 func cpuTime() time.Duration {
@@ -134,6 +140,51 @@
 	return int64(m.HeapAlloc)
 }
 
+// BenchmarkDataCentres measures what the contact between data centres costs the
+// busiest node, with one change to ready a second in each.
+//
+//	go test -run '^$' -bench DataCentres -benchtime 1x ./internal/membership
+func BenchmarkDataCentres(b *testing.B) {
+	for _, count := range []int{3, 14} {
+		b.Run(fmt.Sprintf("data-centres=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				measureDataCentres(b, count)
+			}
+		})
+	}
+}
+
+func measureDataCentres(b *testing.B, count int) {
+	const perDC = 20
+	var dcs []string
+	for i := range count {
+		dcs = append(dcs, fmt.Sprint("dc", i))
+	}
+	s := newSim(b, perDC, dcs...)
+	s.meetAll()
+	s.encode = true
+	s.run(3 * time.Second)
+	for _, n := range s.nodes {
+		n.sentMsgs, n.sentBytes = 0, 0
+	}
+	for second := range slopeSeconds {
+		for i, dc := range dcs {
+			a := announcement(targetID(i*slopeSeconds+second), dc, 1, "ready")
+			a.LeaseMS = 2 * slopeSeconds * time.Second.Milliseconds()
+			s.announce(nodeID(dc, second%perDC), a)
+		}
+		s.run(time.Second)
+	}
+	busiest, sum := 0, 0
+	for _, n := range s.nodes {
+		busiest = max(busiest, n.sentBytes)
+		sum += n.sentBytes
+	}
+	b.ReportMetric(float64(busiest)/slopeSeconds, "busiest-B/s")
+	b.ReportMetric(float64(sum)/float64(slopeSeconds*len(s.nodes)), "B/s/node")
+	b.ReportMetric(0, "ns/op")
+}
+
 // BenchmarkTargetMemory measures the memory of one target's record in a node
 // that learned it from a peer.
 //
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -91,6 +91,7 @@
 	}
 	s.probes.relays = map[uint64]relay{}
 	s.bridging.heard = map[string]time.Time{}
+	s.bridging.active = map[string]bool{}
 	for _, seed := range cfg.Seeds {
 		if seed.ID != cfg.Self.ID {
 			s.seeds = append(s.seeds, seed)
@@ -245,7 +246,7 @@
 	if dataCentre == s.me().DataCentre {
 		return false
 	}
-	bridges := s.bridgesOf(s.me().DataCentre)
+	bridges := s.bridges(s.me().DataCentre, dataCentre)
 	if len(bridges) == 0 {
 		return false
 	}
