--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -22,6 +22,8 @@
 		s.onPingFor(m)
 	case KindPush:
 		s.onPush(m)
+	case KindOffer:
+		s.onOffer(m)
 	case KindPushAck:
 		s.onPushAck(m)
 	case KindDigest:
@@ -101,7 +103,7 @@
 		s.members[id].suspectAt = s.now
 	}
 	s.restartLeases()
-	clear(s.bridging.heard)
+	clear(s.bridging.active)
 	s.sched.sync = s.now
 	if gap >= s.timing.Retention {
 		s.forgetAll()
--- /dev/null
+++ b/internal/membership/slopes_test.go
@@ -0,0 +1,214 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// BenchmarkSlopes measures what membership costs one node, with many reducers
+// in one process and virtual time: bytes sent and messages a second, by kind,
+// processor time (encoding and decoding included) and memory.
+//
+//	go test -run '^$' -bench Slopes -benchtime 1x ./internal/membership
+func BenchmarkSlopes(b *testing.B) {
+	cases := []struct {
+		nodes, targets int
+		// changes is the number of changes a second in the whole data centre,
+		// to the given state.
+		changes int
+		state   api.TargetState
+	}{
+		{8, 1000, 0, "ready"}, {32, 1000, 0, "ready"}, {128, 1000, 0, "ready"}, {300, 1000, 0, "ready"},
+		{32, 100, 0, "ready"}, {32, 10_000, 0, "ready"},
+		{8, 1000, 1, "ready"}, {32, 1000, 1, "ready"}, {300, 1000, 1, "ready"}, {300, 1000, 10, "ready"},
+		{8, 1000, 1, "draining"}, {32, 1000, 1, "draining"}, {300, 1000, 1, "draining"},
+	}
+	for _, c := range cases {
+		name := fmt.Sprintf("nodes=%d/targets=%d/changes=%d/%s", c.nodes, c.targets, c.changes, c.state)
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				measureSlope(b, c.nodes, c.targets, c.changes, c.state)
+			}
+		})
+	}
+}
+
+const (
+	slopeSeconds = 20
+	slopeLease   = 30 * time.Second
+)
+
+func measureSlope(b *testing.B, nodes, targets, changes int, state api.TargetState) {
+	before := heapBytes()
+	s := preloaded(b, nodes, targets)
+	perNode := float64(heapBytes()-before) / float64(nodes)
+	s.encode = true
+	s.run(3 * time.Second)
+
+	kinds := map[MessageKind]int{}
+	s.onSent = func(kind MessageKind, bytes int) { kinds[kind] += bytes }
+	for _, n := range s.nodes {
+		n.sentMsgs, n.sentBytes = 0, 0
+	}
+	began := cpuTime()
+	for second := range slopeSeconds {
+		for i := range changes {
+			id := second*changes + i
+			a := announcement(targetID(id%targets), "oeste", 2, state)
+			a.LeaseMS = 2 * slopeSeconds * time.Second.Milliseconds()
+			s.announce(nodeID("oeste", id%nodes), a)
+		}
+		s.run(time.Second)
+	}
+	cpu := cpuTime() - began
+	var bytes, messages int
+	for _, n := range s.nodes {
+		bytes += n.sentBytes
+		messages += n.sentMsgs
+	}
+	perSecond := float64(nodes * slopeSeconds)
+	b.ReportMetric(float64(bytes)/perSecond, "B/s/node")
+	b.ReportMetric(float64(messages)/perSecond, "msgs/s/node")
+	b.ReportMetric(float64(cpu.Microseconds())/perSecond, "cpu-µs/s/node")
+	b.ReportMetric(perNode/1024, "KiB/node")
+	b.ReportMetric(0, "ns/op")
+	b.Log(kindTable(kinds, perSecond))
+}
+
+func kindTable(kinds map[MessageKind]int, perSecond float64) string {
+	var list []string
+	for _, kind := range Kinds() {
+		if kinds[kind] > 0 {
+			list = append(list, fmt.Sprintf("%s %.1f", kind, float64(kinds[kind])/perSecond))
+		}
+	}
+	return "B/s/node by kind: " + strings.Join(list, ", ")
+}
+
+// preloaded returns a data centre whose nodes know each other and all targets,
+// each of which renews at random nodes.
+func preloaded(b *testing.B, nodes, targets int) *sim {
+	s := newSim(b, nodes, "oeste")
+	s.meetAll()
+	for i := range targets {
+		a := announcement(targetID(i), "oeste", 1, api.TargetReady)
+		a.LeaseMS = slopeLease.Milliseconds()
+		for _, n := range s.nodes {
+			n.state.muted = true
+			n.state.applyTarget(TargetRecord{Announcement: a}, "")
+			n.state.muted = false
+			n.state.effects = nil
+		}
+		offset := time.Duration(s.random.Int64N(int64(slopeLease / renewalsPerLease)))
+		s.after(offset, func() { s.renewing(a) })
+	}
+	return s
+}
+
+// meetAll makes every node know every other one.
+func (s *sim) meetAll() {
+	for _, n := range s.nodes {
+		n.state.muted = true
+		for _, other := range s.nodes {
+			if other != n {
+				n.state.applyMember(other.state.Self(), other.id)
+			}
+		}
+		n.state.muted = false
+		n.state.effects = nil
+	}
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkDataCentres measures what the contact between data centres costs the
+// busiest node, with one change to ready a second in each.
+//
+//	go test -run '^$' -bench DataCentres -benchtime 1x ./internal/membership
+func BenchmarkDataCentres(b *testing.B) {
+	for _, count := range []int{3, 14} {
+		b.Run(fmt.Sprintf("data-centres=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				measureDataCentres(b, count)
+			}
+		})
+	}
+}
+
+func measureDataCentres(b *testing.B, count int) {
+	const perDC = 20
+	var dcs []string
+	for i := range count {
+		dcs = append(dcs, fmt.Sprint("dc", i))
+	}
+	s := newSim(b, perDC, dcs...)
+	s.meetAll()
+	s.encode = true
+	s.run(3 * time.Second)
+	for _, n := range s.nodes {
+		n.sentMsgs, n.sentBytes = 0, 0
+	}
+	for second := range slopeSeconds {
+		for i, dc := range dcs {
+			a := announcement(targetID(i*slopeSeconds+second), dc, 1, "ready")
+			a.LeaseMS = 2 * slopeSeconds * time.Second.Milliseconds()
+			s.announce(nodeID(dc, second%perDC), a)
+		}
+		s.run(time.Second)
+	}
+	busiest, sum := 0, 0
+	for _, n := range s.nodes {
+		busiest = max(busiest, n.sentBytes)
+		sum += n.sentBytes
+	}
+	b.ReportMetric(float64(busiest)/slopeSeconds, "busiest-B/s")
+	b.ReportMetric(float64(sum)/float64(slopeSeconds*len(s.nodes)), "B/s/node")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkTargetMemory measures the memory of one target's record in a node
+// that learned it from a peer.
+//
+//	go test -run '^$' -bench TargetMemory -benchtime 1x ./internal/membership
+func BenchmarkTargetMemory(b *testing.B) {
+	const targets = 68_000
+	for b.Loop() {
+		s := New(Config{Self: Member{ID: "a", DataCentre: "oeste", Incarnation: 1}, Timing: DefaultTiming()}, time.Unix(0, 0))
+		s.muted = true
+		before := heapBytes()
+		for i := 0; i < targets; i += 100 {
+			m := Message{Kind: KindRecords, From: "b"}
+			for j := range 100 {
+				m.Targets = append(m.Targets, TargetRecord{Announcement: announcement(targetID(i+j), "serra", 1, "ready")})
+			}
+			body, err := m.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			m, _ = DecodeMessage(body)
+			s.takeRecords(m)
+			s.effects = nil
+		}
+		b.ReportMetric(float64(heapBytes()-before)/targets, "B/target")
+		runtime.KeepAlive(s)
+	}
+}
