wire: watched connections, bounds, spans, mutual TLS and cuts for tests

Cause: a call that timed out closed the connection under all other calls on it, a connection gone silent under a held call was never found, messages had no bound, a late reply wrote into the caller's structure, a failed accept ended the server, and traces ended at each process. Ruled out: TCP keep-alive (a relay that has lost track answers for the peer or not at all, for minutes) and closing on each time-out (a slow peer's other calls would become "in doubt"). Change: connections are pinged while nothing arrives; a silent one is closed, one on which a call timed out without a byte is retired and finishes its calls. ErrNotSent holds as before, and also for a call given up before its first byte was written, which is then never written. Messages up to 16 MiB, read and idle times on the server, a span at each end, TLS 1.3 with both ends known by an authority, CutDialer for tests. finish and its needless branch are gone.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -1,15 +1,39 @@
 package wire
 
 import (
+	"context"
+	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 )
 
+// Timeouts bounds what a server waits for on a connection.
+type Timeouts struct {
+	// Idle is how long a connection may bring nothing; clients ping theirs
+	// well within it.
+	Idle time.Duration
+	// Read is how long one call may take to come in, and a TLS handshake.
+	Read time.Duration
+}
+
+// DefaultTimeouts returns the times of a server without WithTimeouts.
+func DefaultTimeouts() Timeouts {
+	return Timeouts{Idle: 30 * time.Second, Read: 5 * time.Second}
+}
+
+// acceptPause is the pause after a failed accept, such as for want of file
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
 // Server serves net/rpc methods on one listener.
 type Server struct {
-	rpc *rpc.Server
+	rpc   *rpc.Server
+	times Timeouts
+	limit int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -18,9 +42,38 @@
 	running  sync.WaitGroup
 }
 
-// NewServer returns a server without methods.
-func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+// ServerOption changes how a Server works.
+type ServerOption func(*Server)
+
+// WithTimeouts sets what the server waits for.
+func WithTimeouts(times Timeouts) ServerOption {
+	return func(s *Server) { s.times = times }
+}
+
+// NewServer returns a server whose only method is MethodPing.
+func NewServer(options ...ServerOption) *Server {
+	s := &Server{
+		rpc:   rpc.NewServer(),
+		times: DefaultTimeouts(),
+		limit: MaxMessageBytes,
+		conns: map[net.Conn]struct{}{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	if err := s.Register("Wire", pinger{}); err != nil {
+		panic(fmt.Sprintf("wire: %v", err))
+	}
+	return s
+}
+
+// Listen listens on address, with mutual TLS unless config is nil.
+func Listen(address string, config *tls.Config) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil || config == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, config), nil
 }
 
 // Register offers the exported methods of receiver under name.
@@ -58,9 +111,13 @@
 	defer s.running.Done()
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if !s.track(conn) {
 			_ = conn.Close()
 			return
@@ -72,10 +129,24 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.running.Done()
-	s.rpc.ServeConn(conn)
-	s.mu.Lock()
-	delete(s.conns, conn)
-	s.mu.Unlock()
+	defer s.untrack(conn)
+	if err := s.handshake(conn); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.rpc.ServeCodec(newServerCodec(conn, s.times, s.limit))
+}
+
+// handshake bounds the time of a TLS handshake, which reading would else run
+// under the longer bound of an idle connection.
+func (s *Server) handshake(conn net.Conn) error {
+	secure, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.times.Read)
+	defer cancel()
+	return secure.HandshakeContext(ctx)
 }
 
 func (s *Server) track(conn net.Conn) bool {
@@ -87,3 +158,9 @@
 	s.conns[conn] = struct{}{}
 	return true
 }
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
