--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"wigeonbay/internal/api"
-	"wigeonbay/internal/catalogue"
 )
 
 func (s *Searcher) handleSearch(w http.ResponseWriter, r *http.Request) {
@@ -18,6 +17,7 @@
 		s.answerRefusal(w, r, no)
 		return
 	}
+	s.counters.shards.Add(int64(len(request.Shards)))
 	if no := s.enter(); no != nil {
 		s.answerRefusal(w, r, no)
 		return
@@ -44,13 +44,19 @@
 		return nil, no
 	}
 	defer s.slots.release()
-	if !pause(ctx, s.times.draw(time.Now(), holding.Warm)) {
+	if !pause(ctx, s.searchTime(request, holding)) {
 		return nil, s.abandoned(ctx)
 	}
-	s.counters.ran.Add(1)
+	s.counters.ran.Add(int64(len(request.Shards)))
 	return s.find(request, holding), nil
 }
 
+// searchTime is the time that the request holds its slot: shards are searched
+// one after the other.
+func (s *Searcher) searchTime(request api.ShardRequest, holding api.Holding) time.Duration {
+	return time.Duration(len(request.Shards)) * s.times.draw(time.Now(), holding.Warm)
+}
+
 // abandoned tells of a request that held a slot and did not finish.
 func (s *Searcher) abandoned(ctx context.Context) *refusal {
 	s.counters.cancelled.Add(1)
@@ -73,20 +79,28 @@
 // added or removed since: a reply never mixes versions.
 func (s *Searcher) find(request api.ShardRequest, holding api.Holding) *api.ShardReply {
 	hits := []api.Hit{}
+	totals := make([]int, 0, len(request.Shards))
 	for _, shard := range request.Shards {
-		hits = append(hits, s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)...)
-	}
-	total := len(hits)
-	if request.Limit > 0 && total > request.Limit {
-		catalogue.Sort(hits)
-		hits = hits[:request.Limit]
+		found := s.cfg.Catalogue.Search(holding.LayoutShards, request.Snapshot.Version, shard, request.Query)
+		totals = append(totals, len(found))
+		hits = append(hits, best(found, request.Limit)...)
 	}
 	return &api.ShardReply{
 		RequestID: request.RequestID,
 		Attempt:   request.Attempt,
 		Snapshot:  request.Snapshot,
 		Shards:    request.Shards,
-		Total:     total,
+		Totals:    totals,
 		Hits:      hits,
 	}
 }
+
+// best returns the best hits of one shard. The limit holds for each shard by
+// itself: the entry node may need only some shards of a reply, and hits of the
+// others must not have taken their place.
+func best(found []api.Hit, limit int) []api.Hit {
+	if limit > 0 && len(found) > limit {
+		return found[:limit]
+	}
+	return found
+}
--- a/internal/tools/faultmatrix/matrix.go
+++ b/internal/tools/faultmatrix/matrix.go
@@ -40,14 +40,15 @@
 	step  string
 }
 
-// known reports whether name is one of the axes.
-func known(axes []axis, name string) bool {
+// find returns the name of the axis that a marker gives by name or title, or
+// "".
+func find(axes []axis, text string) string {
 	for _, a := range axes {
-		if a.name == name {
-			return true
+		if a.name == text || a.title == text {
+			return a.name
 		}
 	}
-	return false
+	return ""
 }
 
 // proof is a test that causes the fault of a cell.
--- a/internal/tools/faultmatrix/scan.go
+++ b/internal/tools/faultmatrix/scan.go
@@ -120,16 +120,16 @@
 }
 
 func parseCell(text string) (cell, error) {
-	words := strings.Fields(text)
-	if len(words) != 3 || words[1] != "x" {
+	fault, step, ok := strings.Cut(strings.TrimSpace(text), " x ")
+	if !ok {
 		return cell{}, fmt.Errorf("marker %q is not %q", strings.TrimSpace(text), "fault: FAULT x STEP")
 	}
-	c := cell{fault: words[0], step: words[2]}
-	if !known(faults, c.fault) {
-		return cell{}, fmt.Errorf("unknown fault %q", c.fault)
+	c := cell{fault: find(faults, fault), step: find(steps, step)}
+	if c.fault == "" {
+		return cell{}, fmt.Errorf("unknown fault %q", fault)
 	}
-	if !known(steps, c.step) {
-		return cell{}, fmt.Errorf("unknown step %q", c.step)
+	if c.step == "" {
+		return cell{}, fmt.Errorf("unknown step %q", step)
 	}
 	return c, nil
 }
