--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -10,56 +10,86 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"wigeonbay/internal/cli"
 	"wigeonbay/internal/control/driver"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
 )
 
 // readHeaderTimeout bounds how long a client may take over its headers.
 const readHeaderTimeout = 5 * time.Second
 
-func runControl(ctx context.Context, cmd *cli.Command) error {
-	loaded, err := load(cmd)
-	if err != nil {
-		return err
-	}
+// run serves until ctx ends or the replica can't go on.
+func run(ctx context.Context, config *settings.Control) error {
 	app := fx.New(
-		fx.Supply(loaded),
-		fx.Provide(newLogger, newNode, newOperators),
-		fx.Invoke(func(*driver.Node, *http.Server) {}),
+		fx.Supply(config),
+		fx.Provide(newLogger, newSecurity, newNode, newOperators),
+		fx.Invoke(startTracing, func(*driver.Node, *http.Server) {}),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	signal := <-app.Wait()
+	failed := false
+	select {
+	case <-ctx.Done():
+	case signal := <-app.Wait():
+		failed = signal.ExitCode != cli.ExitDone
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Stop(stopping); err != nil {
 		return err
 	}
-	if signal.ExitCode != 0 {
+	if failed {
 		return errors.New("stopped by a failure; see the log")
 	}
 	return nil
 }
 
-func newLogger(set settings.Control) (*zap.Logger, error) {
-	return telemetry.NewLogger("wigeon-control", set.Node.ID)
+func newLogger(config *settings.Control) (*zap.Logger, error) {
+	logger, err := telemetry.NewLogger(process, config.Node.ID)
+	if err != nil {
+		return nil, err
+	}
+	telemetry.LogSettings(logger, config.TLS.Insecure, config.Testing.CutFile)
+	return logger, nil
+}
+
+func newSecurity(config *settings.Control) (wire.Security, error) {
+	return wire.LoadSecurity(config.TLS.Certificate, config.TLS.Key, config.TLS.Authority)
+}
+
+// startTracing comes before the replica in the lifecycle, so that it ends
+// after it.
+func startTracing(lc fx.Lifecycle, config *settings.Control) error {
+	stop, err := telemetry.StartTracing(process, config.Node.ID, config.Node.DataCentre, config.Telemetry.TraceFile)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.Hook{OnStop: stop})
+	return nil
 }
 
 // newNode runs the replica for the application's lifetime. A failure that it
 // can't go on from ends the process with an exit code.
-func newNode(lc fx.Lifecycle, down fx.Shutdowner, set settings.Control, logger *zap.Logger) (*driver.Node, error) {
-	fatal := func(error) { _ = down.Shutdown(fx.ExitCode(exitFailure)) }
-	node, err := driver.New(set, logger, driver.Options{Fatal: fatal})
+func newNode(lc fx.Lifecycle, down fx.Shutdowner, config *settings.Control, security wire.Security, logger *zap.Logger) (*driver.Node, error) {
+	listener, err := net.Listen("tcp", config.Listen.Peers)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	node, err := driver.New(*config, logger, driver.Options{
+		Dial:     security.DialWithCuts(config.Testing.CutFile),
+		Listener: security.Wrap(listener),
+		Fatal:    func(error) { _ = down.Shutdown(fx.ExitCode(cli.ExitFailed)) },
+	})
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
 	}
 	start := func(context.Context) error {
 		node.Start()
@@ -71,7 +101,7 @@
 }
 
 // newOperators serves counters and health on the operators' address.
-func newOperators(lc fx.Lifecycle, set settings.Control, node *driver.Node) *http.Server {
+func newOperators(lc fx.Lifecycle, config *settings.Control, security wire.Security, node *driver.Node) *http.Server {
 	router := mux.NewRouter()
 	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -80,11 +110,11 @@
 	expvar.Publish("control", expvar.Func(func() any { return node.Counters() }))
 	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	start := func(context.Context) error {
-		listener, err := net.Listen("tcp", set.Listen.Operators)
+		listener, err := net.Listen("tcp", config.Listen.Operators)
 		if err != nil {
 			return fmt.Errorf("listen for operators: %w", err)
 		}
-		go func() { _ = server.Serve(listener) }()
+		go func() { _ = server.Serve(security.Wrap(listener)) }()
 		return nil
 	}
 	lc.Append(fx.Hook{OnStart: start, OnStop: server.Shutdown})
--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -39,7 +39,7 @@
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(config),
 		fx.Provide(newLogger, driver.New),
-		fx.Invoke(register),
+		fx.Invoke(startTracing, register),
 	)
 	if err := app.Start(ctx); err != nil {
 		return err
@@ -51,7 +51,22 @@
 }
 
 func newLogger(config *settings.Entry) (*zap.Logger, error) {
-	return telemetry.NewLogger(process, config.Node.ID)
+	logger, err := telemetry.NewLogger(process, config.Node.ID)
+	if err != nil {
+		return nil, err
+	}
+	telemetry.LogSettings(logger, config.TLS.Insecure, config.Testing.CutFile)
+	return logger, nil
+}
+
+// startTracing comes before the node in the lifecycle, so that it ends after it.
+func startTracing(lifecycle fx.Lifecycle, config *settings.Entry) error {
+	stop, err := telemetry.StartTracing(process, config.Node.ID, config.Node.DataCentre, config.Telemetry.TraceFile)
+	if err != nil {
+		return err
+	}
+	lifecycle.Append(fx.Hook{OnStop: stop})
+	return nil
 }
 
 func register(lifecycle fx.Lifecycle, node *driver.Node) {
--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -42,7 +42,7 @@
 	logger   *zap.Logger
 	pool     *pool.Pool
 	client   *wire.Client
-	trust    trust
+	security wire.Security
 	ledger   *ledgerClient
 	peers    *peers
 
@@ -72,7 +72,7 @@
 	if policy == "" {
 		policy = route.PolicyShipped
 	}
-	trust, err := newTrust(config.TLS)
+	security, err := wire.LoadSecurity(config.TLS.Certificate, config.TLS.Key, config.TLS.Authority)
 	if err != nil {
 		return nil, err
 	}
@@ -80,8 +80,8 @@
 	n := &Node{
 		settings: config,
 		logger:   logger,
-		client:   wire.NewClient(trust.dial),
-		trust:    trust,
+		client:   wire.NewClient(security.DialWithCuts(config.Testing.CutFile)),
+		security: security,
 		state:    entry.New(entry.Options{DataCentre: config.Node.DataCentre, Policy: policy}),
 		timers:   map[entry.QueryID]*time.Timer{},
 		waiters:  map[entry.QueryID]*waiter{},
@@ -177,9 +177,9 @@
 	if err := n.peers.register(n.rpc); err != nil {
 		return err
 	}
-	n.rpc.Serve(n.trust.wrap(rpc))
+	n.rpc.Serve(n.security.Wrap(rpc))
 	n.callers = n.serve(callers, n.callersHandler())
-	n.operators = n.serve(n.trust.wrap(operators), n.operatorsHandler())
+	n.operators = n.serve(n.security.Wrap(operators), n.operatorsHandler())
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,12 +47,19 @@
 	TraceFile string `ini:"trace_file"`
 }
 
+// Testing holds what only tests of failures set.
+type Testing struct {
+	// CutFile names a file of addresses to cut off; see wire.CutFile.
+	CutFile string `ini:"cut_file"`
+}
+
 // Entry holds the settings of wigeon-entry.
 type Entry struct {
 	Node      Node        `ini:"node"`
 	Listen    EntryListen `ini:"listen"`
 	TLS       TLS         `ini:"tls"`
 	Telemetry Telemetry   `ini:"telemetry"`
+	Testing   Testing     `ini:"testing"`
 	Limits    EntryLimits `ini:"limits"`
 	// Controls are the control processes, from [control NAME] sections.
 	Controls []Peer `ini:"control"`
@@ -104,6 +111,7 @@
 	Listen      ControlListen `ini:"listen"`
 	TLS         TLS           `ini:"tls"`
 	Telemetry   Telemetry     `ini:"telemetry"`
+	Testing     Testing       `ini:"testing"`
 	Storage     Storage       `ini:"storage"`
 	Replication Replication   `ini:"replication"`
 	// Group is the name of the control group; replicas of another are refused.
--- a/internal/telemetry/events_membership.go
+++ b/internal/telemetry/events_membership.go
@@ -4,8 +4,6 @@
 
 // Events of the membership part, 3xxx.
 var (
-	MembershipStarted         = Event{3001, zapcore.InfoLevel, "started", "The process listens on its addresses."}
-	MembershipStopped         = Event{3002, zapcore.InfoLevel, "stopped", "The process has finished its shutdown."}
 	MembershipMemberJoined    = Event{3003, zapcore.InfoLevel, "entry node joined", "An entry node that was unknown is now a member; subject is its id."}
 	MembershipMemberSuspected = Event{3004, zapcore.WarnLevel, "entry node suspected", "An entry node did not answer direct and indirect probes. It is declared dead in seconds unless it refutes. If this repeats for one node, look at its load and its network."}
 	MembershipMemberDead      = Event{3005, zapcore.WarnLevel, "entry node dead", "An entry node did not refute the suspicion. Its share of connections and leases goes to the others. Replace the VM or look at its network."}
@@ -28,7 +26,7 @@
 
 // MembershipEvents lists the events of this file, for the catalogue.
 var MembershipEvents = []Event{
-	MembershipStarted, MembershipStopped, MembershipMemberJoined, MembershipMemberSuspected,
+	MembershipMemberJoined, MembershipMemberSuspected,
 	MembershipMemberDead, MembershipMemberLeft, MembershipSelfAccused, MembershipFrozen,
 	MembershipIsolated, MembershipLeaseEnded, MembershipDataCentreLost, MembershipDataCentreBack,
 	MembershipLeaveDone,
--- a/internal/telemetry/events_tools.go
+++ b/internal/telemetry/events_tools.go
@@ -1,12 +1,26 @@
 package telemetry
 
-import "go.uber.org/zap/zapcore"
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
 
-// Events of the tools part, 5xxx.
+// Events that every process can have, 5xxx.
 var (
-	ToolsStarted = Event{5001, zapcore.InfoLevel, "started", "The process listens on its addresses."}
-	ToolsStopped = Event{5002, zapcore.InfoLevel, "stopped", "The process has finished its shutdown."}
+	InsecureListener = Event{5003, zapcore.WarnLevel, "listener without TLS", "The settings say insecure = true: operators and peers can reach this process over plain TCP. Name certificates in [tls]."}
+	CutsFollowed     = Event{5004, zapcore.WarnLevel, "follows a file of cuts", "The settings name a file that cuts this process off from others. It is for tests of failures; remove [testing]."}
 )
 
 // ToolsEvents lists the events of this file, for the catalogue.
-var ToolsEvents = []Event{ToolsStarted, ToolsStopped}
+var ToolsEvents = []Event{InsecureListener, CutsFollowed}
+
+// LogSettings logs the settings that an operator must not overlook: listeners
+// without TLS, and a file of cuts for tests.
+func LogSettings(logger *zap.Logger, insecure bool, cutFile string) {
+	if insecure {
+		InsecureListener.Log(logger)
+	}
+	if cutFile != "" {
+		CutsFollowed.Log(logger, zap.String("file", cutFile))
+	}
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -107,8 +107,11 @@
 	defer conn.end()
 	begin := time.Now()
 	err = conn.call(ctx, method, args, reply)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !conn.heardSince(begin) {
-		c.retire(conn)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		callsTimedOut.Add(1)
+		if !conn.heardSince(begin) {
+			c.retire(conn)
+		}
 	}
 	return err
 }
@@ -181,6 +184,7 @@
 		dial.conn = newConnection(address, raw, c)
 		c.peers[address] = dial.conn
 		c.open[dial.conn] = struct{}{}
+		connectionsOpened.Add(1)
 		go dial.conn.watch(c.keepAlive)
 	}
 	close(dial.done)
--- a/internal/wire/keepalive.go
+++ b/internal/wire/keepalive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -83,6 +84,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := c.call(ctx, MethodPing, &PingArgs{}, &PingReply{})
+	if errors.Is(err, context.DeadlineExceeded) {
+		connectionsSilent.Add(1)
+	}
 	if err != nil && !isRemote(err) {
 		c.close(errSilent)
 	}
--- a/internal/wire/span.go
+++ b/internal/wire/span.go
@@ -16,8 +16,15 @@
 	rpcSystem  = "net_rpc"
 )
 
+// noSpan is the span of a call that belongs to no trace: the traffic that the
+// processes keep up among themselves would drown the requests.
+var noSpan = trace.SpanFromContext(context.Background())
+
 // startClientSpan starts the span of a call as its caller sees it.
 func startClientSpan(ctx context.Context, method, address string) (context.Context, trace.Span) {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx, noSpan
+	}
 	return otel.Tracer(tracerName).Start(ctx, method,
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
@@ -30,14 +37,13 @@
 // caller's, and makes it the parent of what the method does.
 func startServerSpan(method string, args any) trace.Span {
 	envelope := envelopeOf(reflect.ValueOf(args))
-	parent := context.Background()
-	if envelope != nil {
-		parent = extract(envelope.Traceparent)
+	if envelope == nil || envelope.Traceparent == "" {
+		return noSpan
 	}
-	ctx, span := otel.Tracer(tracerName).Start(parent, method,
+	ctx, span := otel.Tracer(tracerName).Start(extract(envelope.Traceparent), method,
 		trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("rpc.system", rpcSystem)))
-	if envelope != nil && span.IsRecording() {
+	if span.IsRecording() {
 		envelope.Traceparent = inject(ctx)
 	}
 	return span
--- a/internal/wire/tls.go
+++ b/internal/wire/tls.go
@@ -66,3 +66,52 @@
 		return dialer.DialContext(ctx, "tcp", address)
 	}
 }
+
+// Security is how the project's processes trust each other. The zero value is
+// plain TCP.
+type Security struct {
+	client *tls.Config
+	server *tls.Config
+}
+
+// LoadSecurity loads mutual TLS from PEM files; without a certificate it
+// returns plain TCP.
+func LoadSecurity(certificate, key, authority string) (Security, error) {
+	if certificate == "" {
+		return Security{}, nil
+	}
+	client, err := LoadClientTLS(certificate, key, authority)
+	if err != nil {
+		return Security{}, err
+	}
+	server, err := LoadServerTLS(certificate, key, authority)
+	if err != nil {
+		return Security{}, err
+	}
+	return Security{client, server}, nil
+}
+
+// Dial returns how to connect to other processes.
+func (s Security) Dial() DialFunc {
+	if s.client == nil {
+		return DialTCP
+	}
+	return DialTLS(s.client)
+}
+
+// DialWithCuts is Dial, cut off from the addresses in a file; see CutFile. An
+// empty file cuts nothing.
+func (s Security) DialWithCuts(file string) DialFunc {
+	if file == "" {
+		return s.Dial()
+	}
+	return CutDialer(s.Dial(), CutFile(file))
+}
+
+// Wrap returns the listener with TLS when it is on.
+func (s Security) Wrap(listener net.Listener) net.Listener {
+	if s.server == nil {
+		return listener
+	}
+	return tls.NewListener(listener, s.server)
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,7 +80,7 @@
     traces=$(find "$folder" -name '*.trace')
     [[ -n $traces ]] || { echo "none"; return; }
     # shellcheck disable=SC2086 # one word a file; the names have no spaces
-    { grep -oh '"Name":"[^"]*"' $traces || true; } | sort | uniq -c | sort -rn | sed -n 1,12p
+    { grep -oh '^{"Name":"[^"]*"' $traces || true; } | cut -d'"' -f4 | sort | uniq -c | sort -rn
 }
 
 listeners() { sed -n "s/^$1 = //p" "${@:2}" | paste -sd, -; }
