Membership: a VM that restarts after a graceful leave is taken in again

Cause: in make demo the restarted entry node stayed alone for as long as it was watched (8 s: 1 member, 29 of 90 targets), and its answers were partial. The others remembered the process that had left, so they didn't answer the introduction of the new one with their own, and it never learned of them. Ruled out: a lost leave (all nodes logged it), and the crash path, whose own test passes because seeds in the other data centres still list the node. Change: whoever gets an introduction answers with its own record and a digest, also when it knows the sender.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // healthLimit bounds the local health score (Lifeguard): a node whose own
 // probes fail or that is itself accused waits up to this many times longer
@@ -121,9 +124,23 @@
 	s.answer(m, Message{Kind: KindAck, Sequence: m.Sequence})
 	if len(m.Members) > 0 {
 		s.takeRecords(m)
+		s.introduceInTurn(m)
 	}
 }
 
+// introduceInTurn answers a ping whose sender introduces itself with this
+// node's own record and a digest of the rest. The sender doesn't know this
+// node, also when this node knows it: as a member that left or died, whose VM
+// has started again.
+func (s *State) introduceInTurn(m Message) {
+	introduced := slices.ContainsFunc(m.Members, func(r Member) bool { return r.ID == m.From })
+	if !introduced {
+		return
+	}
+	s.answer(m, Message{Kind: KindRecords, Members: []Member{s.me().Member}})
+	s.answer(m, s.rootDigest())
+}
+
 // answer replies to a message of a member that is known.
 func (s *State) answer(m Message, reply Message) {
 	if e := s.members[m.From]; e != nil {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -64,20 +64,14 @@
 	}
 }
 
-// meet takes in a sender that introduces itself, and introduces this node and
-// its records in turn.
+// meet takes in a sender that introduces itself.
 func (s *State) meet(m Message) *memberEntry {
 	for _, r := range m.Members {
 		if r.ID != m.From {
 			continue
 		}
 		s.applyMember(r, m.From)
-		e := s.members[m.From]
-		if e != nil && m.Kind == KindPing {
-			s.send(e, Message{Kind: KindRecords, Members: []Member{s.me().Member}})
-			s.send(e, s.rootDigest())
-		}
-		return e
+		return s.members[m.From]
 	}
 	return nil
 }
