--- a/internal/control/driver/apply.go
+++ b/internal/control/driver/apply.go
@@ -2,55 +2,128 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
 
 	"wigeonbay/internal/control/machine"
 	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/telemetry"
 )
 
-// snapshotState follows the snapshots of the state machine.
-type snapshotState struct {
-	// saved is the newest snapshot on the disk, for members that lag behind.
-	saved replica.Snapshot
-	// takenAt is the index of the newest one taken, saved or not.
-	takenAt uint64
-	pending bool
+// applier feeds the state machine in a goroutine of its own. The loop must not
+// wait for the machine: a snapshot of a large state takes longer than an
+// election timeout, and a leader that sends no heartbeat meanwhile is deposed.
+type applier struct {
+	node *Node
+
+	mu    sync.Mutex
+	work  []any
+	ready chan struct{}
+
+	// currentAt is the protocol's CurrentAt, as far as the machine has come.
+	currentAt atomic.Int64
+
+	// The fields below belong to the applier's goroutine.
+	at      replica.SnapshotMeta // of the last entry applied
+	takenAt uint64               // index of the newest snapshot taken
+	storing sync.WaitGroup
+	pending atomic.Bool
+}
+
+// Work for the applier, besides the effects Apply, Restore and ReadReady.
+type currentSince time.Duration
+
+func newApplier(n *Node, found replica.SnapshotMeta) *applier {
+	return &applier{node: n, ready: make(chan struct{}, 1), at: found, takenAt: found.Index}
+}
+
+// add queues work. What an effect promises holds only once everything queued
+// before it is applied.
+func (a *applier) add(work any) {
+	a.mu.Lock()
+	a.work = append(a.work, work)
+	a.mu.Unlock()
+	select {
+	case a.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (a *applier) take() []any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	taken := a.work
+	a.work = nil
+	return taken
+}
+
+// run applies until the node stops, then waits for a snapshot under way.
+func (a *applier) run() {
+	defer a.node.running.Done()
+	defer a.storing.Wait()
+	for {
+		select {
+		case <-a.node.stop.Done():
+			return
+		case <-a.ready:
+		}
+		for _, work := range a.take() {
+			a.do(work)
+		}
+	}
+}
+
+func (a *applier) do(work any) {
+	switch w := work.(type) {
+	case replica.Apply:
+		a.apply(w.Entries)
+	case replica.Restore:
+		a.restore(w.Snapshot)
+	case replica.ReadReady:
+		a.node.waiters.read(w.ID, true)
+	case currentSince:
+		a.currentAt.Store(int64(w))
+	}
 }
 
-// apply feeds committed entries to the state machine and answers those who
-// proposed them.
-func (n *Node) apply(entries []replica.Entry) {
+// apply feeds committed entries to the machine and answers those who proposed
+// them.
+func (a *applier) apply(entries []replica.Entry) {
+	n := a.node
 	before := n.version()
 	n.machineMu.Lock()
 	for _, entry := range entries {
-		n.applyEntry(entry)
+		a.applyEntry(entry)
 	}
 	n.machineMu.Unlock()
 	if n.version() != before {
 		n.applied.signal()
 	}
-	n.maybeSnapshot()
+	a.maybeSnapshot()
 }
 
-func (n *Node) applyEntry(entry replica.Entry) {
-	if entry.Kind != replica.EntryCommand {
-		n.waiters.applied(entry, machine.Result{})
+func (a *applier) applyEntry(entry replica.Entry) {
+	a.at.Index, a.at.Term = entry.Index, entry.Term
+	switch entry.Kind {
+	case replica.EntryMembership:
+		a.at.Membership = *entry.Membership
+	case replica.EntryCommand:
+		command, err := machine.Decode(entry.Data)
+		if err != nil {
+			panic(fmt.Sprintf("driver: committed entry %d does not decode: %v", entry.Index, err))
+		}
+		a.node.waiters.applied(entry, a.node.machine.Apply(entry.Index, command))
 		return
 	}
-	command, err := machine.Decode(entry.Data)
-	if err != nil {
-		panic(fmt.Sprintf("driver: committed entry %d does not decode: %v", entry.Index, err))
-	}
-	n.waiters.applied(entry, n.machine.Apply(entry.Index, command))
-}
-
-func (n *Node) version() uint64 {
-	n.machineMu.RLock()
-	defer n.machineMu.RUnlock()
-	return n.machine.Version()
+	a.node.waiters.applied(entry, machine.Result{})
 }
 
 // restore takes over a snapshot that the leader sent.
-func (n *Node) restore(snapshot replica.Snapshot) {
+func (a *applier) restore(snapshot replica.Snapshot) {
+	n := a.node
 	n.machineMu.Lock()
 	err := n.machine.Restore(snapshot.Data)
 	n.machineMu.Unlock()
@@ -58,21 +131,17 @@
 		n.fail(fmt.Errorf("restore snapshot %d: %w", snapshot.Meta.Index, err))
 		return
 	}
-	n.shot.takenAt = max(n.shot.takenAt, snapshot.Meta.Index)
-	n.shot.saved = snapshot
+	a.at = snapshot.Meta
+	a.takenAt = max(a.takenAt, snapshot.Meta.Index)
 	n.waiters.restored(snapshot.Meta.Index)
 	n.applied.signal()
 }
 
 // maybeSnapshot takes a snapshot when enough entries were applied since the
-// last one; the disk's goroutine saves it.
-func (n *Node) maybeSnapshot() {
-	index := n.state.AppliedIndex()
-	if n.shot.pending || index < n.shot.takenAt+uint64(n.set.Storage.SnapshotEntries) {
-		return
-	}
-	term, ok := n.state.TermAt(index)
-	if !ok {
+// last one. It is written beside the log's own writes.
+func (a *applier) maybeSnapshot() {
+	n := a.node
+	if a.pending.Load() || a.at.Index < a.takenAt+uint64(n.set.Storage.SnapshotEntries) {
 		return
 	}
 	n.machineMu.RLock()
@@ -82,22 +151,48 @@
 		n.fail(fmt.Errorf("take snapshot: %w", err))
 		return
 	}
-	n.shot.pending = true
-	n.shot.takenAt = index
-	meta := replica.SnapshotMeta{Index: index, Term: term, Membership: n.state.MembershipAt(index)}
-	n.disk.add(diskWork{snapshot: &replica.Snapshot{Meta: meta, Data: data}})
+	a.pending.Store(true)
+	a.takenAt = a.at.Index
+	snapshot := replica.Snapshot{Meta: a.at, Data: data}
+	a.storing.Go(func() { a.store(snapshot) })
+}
+
+// store writes a snapshot and lets the disk's goroutine drop what it replaces.
+func (a *applier) store(snapshot replica.Snapshot) {
+	n := a.node
+	if err := n.log.StoreSnapshot(snapshot); err != nil {
+		n.fail(err)
+		return
+	}
+	telemetry.ControlSnapshot.Log(n.logger,
+		zap.Uint64("index", snapshot.Meta.Index),
+		zap.Int("bytes", len(snapshot.Data)))
+	n.disk.add(diskWork{stored: &snapshot})
 }
 
-// snapshotSaved lets the log shrink, but for a tail that spares members that
-// lag a little the whole snapshot.
+// snapshotSaved runs on the loop. It lets the log shrink, but for a tail that
+// spares members that lag a little the whole snapshot.
 func (n *Node) snapshotSaved(snapshot replica.Snapshot) {
-	n.shot.pending = false
-	if snapshot.Meta.Index < n.shot.saved.Meta.Index {
+	n.applier.pending.Store(false)
+	if snapshot.Meta.Index < n.saved.Meta.Index {
 		return
 	}
-	n.shot.saved = snapshot
+	n.saved = snapshot
 	keep := uint64(n.set.Storage.SnapshotEntries) / 2
 	from := snapshot.Meta.Index + 1
 	from -= min(keep, snapshot.Meta.Index)
 	n.step(replica.SnapshotSaved{Index: snapshot.Meta.Index, KeepFrom: from})
 }
+
+// restore hands over a snapshot that the leader sent, and keeps it for members
+// that lag behind.
+func (n *Node) restore(e replica.Restore) {
+	n.saved = e.Snapshot
+	n.applier.add(e)
+}
+
+func (n *Node) version() uint64 {
+	n.machineMu.RLock()
+	defer n.machineMu.RUnlock()
+	return n.machine.Version()
+}
--- a/internal/control/driver/bench_test.go
+++ b/internal/control/driver/bench_test.go
@@ -147,7 +147,8 @@
 			data, err := m.Snapshot()
 			assert.NilError(b, err)
 			meta := replica.SnapshotMeta{Index: last, Term: 1}
-			assert.NilError(b, log.SaveSnapshot(replica.Snapshot{Meta: meta, Data: data}))
+			assert.NilError(b, log.StoreSnapshot(replica.Snapshot{Meta: meta, Data: data}))
+			assert.NilError(b, log.Retire(last))
 		}
 	}
 	assert.NilError(b, log.Close())
--- a/internal/control/driver/disk.go
+++ b/internal/control/driver/disk.go
@@ -7,10 +7,11 @@
 	"wigeonbay/internal/control/replica"
 )
 
-// diskWork is one thing to write: a log write or a snapshot.
+// diskWork is one thing to do: a log write, or to drop what a stored snapshot
+// replaces.
 type diskWork struct {
-	persist  *replica.Persist
-	snapshot *replica.Snapshot
+	persist *replica.Persist
+	stored  *replica.Snapshot
 }
 
 // diskQueue holds what waits for the disk, in order. It has no bound of its
@@ -42,12 +43,12 @@
 }
 
 // take removes log writes with up to limit entries from the front, at least one
-// write, or one snapshot.
+// write, or one stored snapshot.
 func (q *diskQueue) take(limit int) []diskWork {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	count, size := 0, 0
-	for count < len(q.work) && q.work[count].snapshot == nil {
+	for count < len(q.work) && q.work[count].stored == nil {
 		size += max(1, len(q.work[count].persist.Entries))
 		if count > 0 && size > limit {
 			break
@@ -82,8 +83,8 @@
 }
 
 func (n *Node) write(work []diskWork) error {
-	if snapshot := work[0].snapshot; snapshot != nil {
-		if err := n.log.SaveSnapshot(*snapshot); err != nil {
+	if snapshot := work[0].stored; snapshot != nil {
+		if err := n.log.Retire(snapshot.Meta.Index); err != nil {
 			return err
 		}
 		n.post(inspection(func(*replica.State) { n.snapshotSaved(*snapshot) }))
--- a/internal/control/driver/loop.go
+++ b/internal/control/driver/loop.go
@@ -17,7 +17,6 @@
 	term          uint64
 	leader        replica.Identity
 	leaderAddress string
-	currentAt     time.Duration
 }
 
 // inspection runs on the loop with the protocol's state.
@@ -94,6 +93,10 @@
 	for _, effect := range n.state.Step(event) {
 		n.carryOut(effect)
 	}
+	if at := n.state.CurrentAt(); at != n.currentAt {
+		n.currentAt = at
+		n.applier.add(currentSince(at))
+	}
 }
 
 func (n *Node) carryOut(effect replica.Effect) {
@@ -105,15 +108,15 @@
 	case replica.SendSnapshot:
 		n.sendSnapshot(e)
 	case replica.Apply:
-		n.apply(e.Entries)
+		n.applier.add(e)
 	case replica.Restore:
-		n.restore(e.Snapshot)
+		n.restore(e)
 	case replica.Accepted:
 		n.waiters.accepted(e)
 	case replica.Refused:
 		n.waiters.refused(e)
 	case replica.ReadReady:
-		n.waiters.read(e.ID, true)
+		n.applier.add(e)
 	case replica.ReadFailed:
 		n.waiters.read(e.ID, false)
 	}
@@ -124,10 +127,9 @@
 func (n *Node) publish() {
 	s := n.state
 	next := &view{
-		role:      s.Role(),
-		term:      s.Term(),
-		leader:    s.Leader(),
-		currentAt: s.CurrentAt(),
+		role:   s.Role(),
+		term:   s.Term(),
+		leader: s.Leader(),
 	}
 	next.leaderAddress = n.addressOf(next.leader)
 	before := n.view.Swap(next)
@@ -158,7 +160,7 @@
 // quorumAge returns the time since the replica was last known to be current,
 // and false for never.
 func (n *Node) quorumAge() (time.Duration, bool) {
-	at := n.view.Load().currentAt
+	at := time.Duration(n.applier.currentAt.Load())
 	if at == 0 {
 		return 0, false
 	}
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -33,14 +33,18 @@
 	inbox    chan any
 	proposed chan proposal
 	asked    chan readWaiter
-	waiters  waiters // owned by the loop
+	waiters  *waiters
 	random   *rand.Rand
-	shot     snapshotState // owned by the loop
-	disk     *diskQueue
-	calls    *calls
-	view     atomic.Pointer[view]
-	changed  *broadcast // of the view's leader or role
-	nextID   atomic.Uint64
+	applier  *applier
+	// saved is the newest snapshot on the disk, for members that lag behind,
+	// and currentAt the protocol's; both are owned by the loop.
+	saved     replica.Snapshot
+	currentAt time.Duration
+	disk      *diskQueue
+	calls     *calls
+	view      atomic.Pointer[view]
+	changed   *broadcast // of the view's leader or role
+	nextID    atomic.Uint64
 
 	machineMu sync.RWMutex
 	machine   *machine.Machine
@@ -50,6 +54,7 @@
 	server   *wire.Server
 	client   *wire.Client
 	peers    *peers
+	incoming assembly
 
 	stop     context.Context
 	cancel   context.CancelFunc
@@ -110,8 +115,8 @@
 			return fmt.Errorf("restore snapshot %d: %w", found.Snapshot.Meta.Index, err)
 		}
 	}
-	n.shot.saved = found.Snapshot
-	n.shot.takenAt = found.Snapshot.Meta.Index
+	n.saved = found.Snapshot
+	n.applier = newApplier(n, found.Snapshot.Meta)
 	n.state = replica.New(n.config(), replica.Restored{
 		HardState: found.HardState,
 		Snapshot:  found.Snapshot.Meta,
@@ -157,8 +162,9 @@
 // Start runs the node. It returns at once.
 func (n *Node) Start() {
 	founds := n.mayFound()
-	n.running.Add(2)
+	n.running.Add(3)
 	go n.loop()
+	go n.applier.run()
 	go n.writeDisk()
 	n.server.Serve(n.listener)
 	if founds {
--- a/internal/control/driver/options.go
+++ b/internal/control/driver/options.go
@@ -39,6 +39,8 @@
 	inboxSize = 1024
 	// queueSize bounds the proposals and reads that wait for the loop.
 	queueSize = 256
+	// chunkTimeout bounds the call that carries a part of a snapshot.
+	chunkTimeout = 5 * time.Second
 	// peerQueue bounds the messages that wait for one replica; more are
 	// dropped, and the protocol sends again.
 	peerQueue = 256
--- a/internal/control/driver/peers.go
+++ b/internal/control/driver/peers.go
@@ -12,6 +12,7 @@
 	peerServiceName = "Replica"
 	methodDeliver   = peerServiceName + ".Deliver"
 	methodHello     = peerServiceName + ".Hello"
+	methodInstall   = peerServiceName + ".Install"
 	methodApply     = peerServiceName + ".Apply"
 	methodClaim     = peerServiceName + ".Claim"
 	methodRecord    = peerServiceName + ".Record"
@@ -111,12 +112,15 @@
 	}
 }
 
+// gather takes what is queued, as far as one call may carry it.
 func gather(first replica.Message, queue chan replica.Message) []replica.Message {
 	batch := []replica.Message{first}
-	for len(batch) < peerQueue {
+	size := entryBytes(first)
+	for len(batch) < peerQueue && size < batchBytes {
 		select {
 		case m := <-queue:
 			batch = append(batch, m)
+			size += entryBytes(m)
 			continue
 		default:
 		}
@@ -125,30 +129,26 @@
 	return batch
 }
 
+func entryBytes(m replica.Message) int {
+	request, ok := m.Body.(replica.AppendRequest)
+	if !ok {
+		return 0
+	}
+	size := 0
+	for _, entry := range request.Entries {
+		size += len(entry.Data)
+	}
+	return size
+}
+
 // deliver makes one call. A failed one is dropped: the protocol sends again,
 // and a repeated old message would only take up room.
-func (p *peers) deliver(address string, batch []replica.Message) bool {
+func (p *peers) deliver(address string, batch []replica.Message) {
 	timeout := p.node.set.Replication.ElectionTimeout
 	ctx, cancel := context.WithTimeout(p.node.stop, timeout)
 	defer cancel()
 	args := &DeliverArgs{Group: p.node.set.Group, Address: p.node.Address(), Messages: batch}
-	return p.node.client.Call(ctx, address, methodDeliver, args, &DeliverReply{}) == nil
+	_ = p.node.client.Call(ctx, address, methodDeliver, args, &DeliverReply{})
 }
 
 func (p *peers) wait() { p.running.Wait() }
-
-// sendSnapshot sends the newest saved snapshot apart from the queue, so that
-// it doesn't hold up heartbeats.
-func (n *Node) sendSnapshot(e replica.SendSnapshot) {
-	e.Request.Snapshot = n.shot.saved
-	e.Message.Body = e.Request
-	address := n.addressOf(e.Message.To)
-	n.peers.running.Add(1)
-	go func() {
-		defer n.peers.running.Done()
-		if address != "" {
-			n.peers.deliver(address, []replica.Message{e.Message})
-		}
-		n.post(replica.SnapshotSent{To: e.Message.To})
-	}()
-}
--- a/internal/control/driver/waiters.go
+++ b/internal/control/driver/waiters.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"sync"
+
 	"wigeonbay/internal/control/machine"
 	"wigeonbay/internal/control/replica"
 )
@@ -47,6 +49,7 @@
 // waiters holds who waits for the fate of a proposal or read. Each channel has
 // room for its one answer, so that answering never waits.
 type waiters struct {
+	mu      sync.Mutex
 	byID    map[uint64]chan<- decided
 	byIndex map[uint64][]indexWaiter
 	reads   map[uint64][]readWaiter
@@ -57,23 +60,31 @@
 	done chan<- decided
 }
 
-func newWaiters() waiters {
-	return waiters{
+func newWaiters() *waiters {
+	return &waiters{
 		byID:    map[uint64]chan<- decided{},
 		byIndex: map[uint64][]indexWaiter{},
 		reads:   map[uint64][]readWaiter{},
 	}
 }
 
-func (w *waiters) add(id uint64, done chan<- decided) { w.byID[id] = done }
+func (w *waiters) add(id uint64, done chan<- decided) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id] = done
+}
 
 func (w *waiters) accepted(e replica.Accepted) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	waiting := indexWaiter{term: e.Term, done: w.byID[e.ID]}
 	delete(w.byID, e.ID)
 	w.byIndex[e.Index] = append(w.byIndex[e.Index], waiting)
 }
 
 func (w *waiters) refused(e replica.Refused) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.byID[e.ID] <- decided{fate: fateNever, reason: e.Reason}
 	delete(w.byID, e.ID)
 }
@@ -81,6 +92,8 @@
 // applied answers who proposed the entry at this index. Another term's entry
 // in its place means that the proposal can never be committed.
 func (w *waiters) applied(entry replica.Entry, result machine.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, waiting := range w.byIndex[entry.Index] {
 		if waiting.term != entry.Term {
 			waiting.done <- decided{fate: fateNever}
@@ -93,6 +106,8 @@
 
 // restored leaves in doubt what a snapshot has passed over.
 func (w *waiters) restored(index uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for at, list := range w.byIndex {
 		if at <= index {
 			answer(list, fateDoubt)
@@ -104,6 +119,8 @@
 // doubtAll answers everyone when the replica stops leading: another leader may
 // or may not commit their entries, and the callers must not wait for that.
 func (w *waiters) doubtAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, list := range w.byIndex {
 		answer(list, fateDoubt)
 	}
@@ -111,6 +128,8 @@
 }
 
 func (w *waiters) stopAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, list := range w.byIndex {
 		answer(list, fateStopped)
 	}
@@ -123,7 +142,15 @@
 	}
 }
 
+func (w *waiters) addReads(id uint64, list []readWaiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reads[id] = list
+}
+
 func (w *waiters) read(id uint64, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, done := range w.reads[id] {
 		done <- ok
 	}
@@ -160,6 +187,6 @@
 		break
 	}
 	id := n.nextID.Add(1)
-	n.waiters.reads[id] = list
+	n.waiters.addReads(id, list)
 	n.step(replica.Read{ID: id})
 }
--- a/internal/control/wal/fault_test.go
+++ b/internal/control/wal/fault_test.go
@@ -52,6 +52,16 @@
 	return func(l *Log) error { return l.Write(writes) }
 }
 
+// saveOwn stores a snapshot of the own state machine and drops what it replaces.
+func saveOwn(snapshot replica.Snapshot) func(*Log) error {
+	return func(l *Log) error {
+		if err := l.StoreSnapshot(snapshot); err != nil {
+			return err
+		}
+		return l.Retire(snapshot.Meta.Index)
+	}
+}
+
 // script goes through everything the log does: hard state, entries, conflict,
 // rotation, own snapshot with cleaning, and a leader's snapshot that replaces
 // the log or keeps its tail.
@@ -66,12 +76,12 @@
 		{"conflict", writeOf(replica.Persist{HardState: hard(2), Entries: []replica.Entry{entry(3, 2), entry(4, 2)}}), expected{2, 4, 2, 0}},
 		{"rotation", writeOf(replica.Persist{Entries: []replica.Entry{entry(5, 2), entry(6, 2), entry(7, 2), entry(8, 2)}}), expected{2, 8, 2, 0}},
 		{"more entries", writeOf(replica.Persist{Entries: []replica.Entry{entry(9, 2)}}), expected{2, 9, 2, 0}},
-		{"own snapshot", func(l *Log) error { return l.SaveSnapshot(*snap(8, 2)) }, expected{2, 9, 2, 8}},
+		{"own snapshot", saveOwn(*snap(8, 2)), expected{2, 9, 2, 8}},
 		{"entry after snapshot", writeOf(replica.Persist{Entries: []replica.Entry{entry(10, 2)}}), expected{2, 10, 2, 8}},
 		{"leader's snapshot keeps the tail", writeOf(replica.Persist{Snapshot: snap(9, 2)}), expected{2, 10, 2, 9}},
 		{"leader's snapshot replaces the log", writeOf(replica.Persist{HardState: hard(3), Snapshot: snap(20, 3), ResetLog: true}), expected{3, 20, 3, 20}},
 		{"entries after it", writeOf(replica.Persist{Entries: []replica.Entry{entry(21, 3), entry(22, 3)}}), expected{3, 22, 3, 20}},
-		{"second own snapshot", func(l *Log) error { return l.SaveSnapshot(*snap(22, 3)) }, expected{3, 22, 3, 22}},
+		{"second own snapshot", saveOwn(*snap(22, 3)), expected{3, 22, 3, 22}},
 		{"last entry", writeOf(replica.Persist{Entries: []replica.Entry{entry(23, 3)}}), expected{3, 23, 3, 22}},
 	}
 }
@@ -176,7 +186,7 @@
 			assert.NilError(t, log.Write([]replica.Persist{{Entries: []replica.Entry{entry(index, 1)}}}))
 		}
 		meta := replica.SnapshotMeta{Index: snap, Term: 1}
-		assert.NilError(t, log.SaveSnapshot(replica.Snapshot{Meta: meta}))
+		assert.NilError(t, saveOwn(replica.Snapshot{Meta: meta})(log))
 		assert.NilError(t, log.Close())
 		_, found, err := openOn(files)
 		assert.NilError(t, err)
--- a/internal/control/wal/log.go
+++ b/internal/control/wal/log.go
@@ -59,7 +59,7 @@
 	torn  *tornTail
 	// stale tells that the entries found are older than the snapshot.
 	stale  bool
-	failed error
+	failed atomic.Pointer[error]
 }
 
 type closedSegment struct {
@@ -148,8 +148,8 @@
 // Write makes writes last, in order, in one frame with one sync. Snapshots
 // among them are saved first. After an error the log is failed.
 func (l *Log) Write(writes []replica.Persist) error {
-	if l.failed != nil {
-		return l.failed
+	if err := l.Failed(); err != nil {
+		return err
 	}
 	return l.fail(l.write(writes))
 }
@@ -197,15 +197,21 @@
 	return nil
 }
 
-// SaveSnapshot saves a snapshot of the replica's own state machine and removes
-// what it replaces.
-func (l *Log) SaveSnapshot(snapshot replica.Snapshot) error {
-	if l.failed != nil {
-		return l.failed
+// StoreSnapshot makes a snapshot of the replica's own state machine last. It may
+// run beside the other methods, so that a large one holds up no commit.
+func (l *Log) StoreSnapshot(snapshot replica.Snapshot) error {
+	if err := l.Failed(); err != nil {
+		return err
 	}
-	if err := l.fail(l.install(snapshot)); err != nil {
+	return l.fail(saveSnapshot(l.files, l.folder, snapshot))
+}
+
+// Retire removes what the stored snapshot of this index replaces.
+func (l *Log) Retire(index uint64) error {
+	if err := l.Failed(); err != nil {
 		return err
 	}
+	l.newest = max(l.newest, index)
 	return l.fail(l.clean())
 }
 
@@ -259,14 +265,24 @@
 	return nil
 }
 
-func (l *Log) fail(err error) error {
-	if err != nil {
-		l.failed = fmt.Errorf("%w: %w", ErrFailed, err)
-		return l.failed
+// Failed returns the error after which the log takes nothing more, nil while it
+// works.
+func (l *Log) Failed() error {
+	if failed := l.failed.Load(); failed != nil {
+		return *failed
 	}
 	return nil
 }
 
+func (l *Log) fail(err error) error {
+	if err == nil {
+		return nil
+	}
+	err = fmt.Errorf("%w: %w", ErrFailed, err)
+	l.failed.CompareAndSwap(nil, &err)
+	return l.Failed()
+}
+
 // Bytes returns the size of the segments on the disk. It is safe for concurrent
 // use.
 func (l *Log) Bytes() int64 { return l.bytes.Load() }
--- a/internal/control/wal/refuse_test.go
+++ b/internal/control/wal/refuse_test.go
@@ -23,7 +23,7 @@
 		assert.NilError(t, log.Write([]replica.Persist{{Entries: []replica.Entry{entry(index, 1)}}}))
 	}
 	meta := replica.SnapshotMeta{Index: 5, Term: 1}
-	assert.NilError(t, log.SaveSnapshot(replica.Snapshot{Meta: meta, Data: []byte("state")}))
+	assert.NilError(t, saveOwn(replica.Snapshot{Meta: meta, Data: []byte("state")})(log))
 	assert.NilError(t, log.Close())
 	return files
 }
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -12,11 +12,12 @@
 	ControlFounded     = Event{2006, zapcore.InfoLevel, "group founded", "Every first member held nothing and the replica has founded the group."}
 	ControlGroupExists = Event{2007, zapcore.WarnLevel, "group exists already", "The replica holds nothing, but another member holds the group. If it is a first start, the leader brings it up to date; after a lost disk, run wigeonctl replace."}
 	ControlMembership  = Event{2008, zapcore.InfoLevel, "membership change committed", "One step of a replacement is in force."}
+	ControlSnapshot    = Event{2010, zapcore.InfoLevel, "snapshot saved", "The log before this index can go. Needs nothing."}
 	ControlRepaired    = Event{2009, zapcore.InfoLevel, "replica repaired", "The replacement holds everything committed and votes."}
 )
 
 // ControlEvents lists the events of this file, for the catalogue.
 var ControlEvents = []Event{
 	ControlStarted, ControlStopped, ControlRecovered, ControlRole, ControlFailed,
-	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired,
+	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired, ControlSnapshot,
 }
