--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -22,6 +22,8 @@
 		s.onPingFor(m)
 	case KindPush:
 		s.onPush(m)
+	case KindOffer:
+		s.onOffer(m)
 	case KindPushAck:
 		s.onPushAck(m)
 	case KindDigest:
@@ -64,20 +66,14 @@
 	}
 }
 
-// meet takes in a sender that introduces itself, and introduces this node and
-// its records in turn.
+// meet takes in a sender that introduces itself.
 func (s *State) meet(m Message) *memberEntry {
 	for _, r := range m.Members {
 		if r.ID != m.From {
 			continue
 		}
 		s.applyMember(r, m.From)
-		e := s.members[m.From]
-		if e != nil && m.Kind == KindPing {
-			s.send(e, Message{Kind: KindRecords, Members: []Member{s.me().Member}})
-			s.send(e, s.rootDigest())
-		}
-		return e
+		return s.members[m.From]
 	}
 	return nil
 }
@@ -101,7 +97,7 @@
 		s.members[id].suspectAt = s.now
 	}
 	s.restartLeases()
-	clear(s.bridging.heard)
+	clear(s.bridging.active)
 	s.sched.sync = s.now
 	if gap >= s.timing.Retention {
 		s.forgetAll()
