--- a/internal/control/driver/control_service.go
+++ b/internal/control/driver/control_service.go
@@ -1,9 +1,6 @@
 package driver
 
-import (
-	"wigeonbay/internal/controlrpc"
-	"wigeonbay/internal/wire"
-)
+import "wigeonbay/internal/controlrpc"
 
 // controlService holds the net/rpc methods for entry nodes and operators. Any
 // replica serves any of them: what only the leader can do is forwarded.
@@ -17,12 +14,10 @@
 		return nil
 	}
 	defer done()
-	forward := *args
-	forward.Envelope = wire.NewEnvelope(ctx)
 	*reply = route(ctx, c.n, routed[controlrpc.ApplyReply]{
 		here:   func() controlrpc.ApplyReply { return c.n.applyHere(ctx, args) },
 		method: methodApply,
-		args:   &forward,
+		args:   args,
 		result: func(r *controlrpc.ApplyReply) *controlrpc.Result { return &r.Result },
 	})
 	return nil
@@ -36,12 +31,10 @@
 		return nil
 	}
 	defer done()
-	forward := *args
-	forward.Envelope = wire.NewEnvelope(ctx)
 	*reply = route(ctx, c.n, routed[controlrpc.ClaimReply]{
 		here:   func() controlrpc.ClaimReply { return c.n.claimHere(ctx, args) },
 		method: methodClaim,
-		args:   &forward,
+		args:   args,
 		result: func(r *controlrpc.ClaimReply) *controlrpc.Result { return &r.Result },
 	})
 	return nil
@@ -55,12 +48,10 @@
 		return nil
 	}
 	defer done()
-	forward := *args
-	forward.Envelope = wire.NewEnvelope(ctx)
 	*reply = route(ctx, c.n, routed[controlrpc.RecordReply]{
 		here:   func() controlrpc.RecordReply { return c.n.recordHere(ctx, args) },
 		method: methodRecord,
-		args:   &forward,
+		args:   args,
 		result: func(r *controlrpc.RecordReply) *controlrpc.Result { return &r.Result },
 	})
 	return nil
@@ -74,12 +65,10 @@
 		return nil
 	}
 	defer done()
-	forward := *args
-	forward.Envelope = wire.NewEnvelope(ctx)
 	*reply = route(ctx, c.n, routed[controlrpc.ReplaceReply]{
 		here:   func() controlrpc.ReplaceReply { return c.n.replaceHere(ctx, args) },
 		method: methodReplace,
-		args:   &forward,
+		args:   args,
 		result: func(r *controlrpc.ReplaceReply) *controlrpc.Result { return &r.Result },
 	})
 	return nil
