A leader that stops hands over to another replica

Ruled out: shorter election timeouts, which slow syncs and pauses would break. Change: the event StepAside: the leader takes no more proposals and asks a voter with its whole log to stand at once; the driver does so after its calls have ended. If nobody takes over within an election timeout, the leader goes on.

--- a/internal/control/driver/bench_test.go
+++ b/internal/control/driver/bench_test.go
@@ -159,3 +159,43 @@
 		{Name: fmt.Sprintf("s%d", number%1000), Prefer: api.PreferDeadline, LeastCoverage: 0.5, DeadlineMS: 100}}}
 	return machine.Command{Kind: machine.KindTicket, NowUnixMS: int64(number), Ticket: &ticket}
 }
+
+// BenchmarkLeaderLoss reports how long a ticket takes that is sent through a
+// follower just as the leader stops, or is killed.
+func BenchmarkLeaderLoss(b *testing.B) {
+	ways := []struct {
+		name string
+		end  func(*group, string)
+	}{{"stopped", (*group).stop}, {"killed", (*group).kill}}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			g := newGroup(b, "a", "b", "c")
+			g.startAll()
+			number := uint64(1)
+			g.mustApply("a", number)
+			var total time.Duration
+			for range b.N {
+				leader := g.leader()
+				through := g.other(leader)
+				g.untilCurrent(through, number)
+				number++
+				follower := g.nodes[through]
+				ended := make(chan struct{})
+				go func() {
+					way.end(g, leader)
+					close(ended)
+				}()
+				begin := time.Now()
+				for follower.view.Load().leader.ID == leader {
+					time.Sleep(time.Millisecond)
+				}
+				g.mustApply(through, number)
+				total += time.Since(begin)
+				<-ended
+				g.start(g.peer(leader), Options{}, false)
+				g.untilCurrent(leader, number)
+			}
+			b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/handover")
+		})
+	}
+}
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -40,7 +40,7 @@
 	t.Cleanup(func() {
 		g.client.Close()
 		for id := range g.nodes {
-			g.stop(id)
+			g.kill(id)
 		}
 	})
 	return g
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -181,6 +181,7 @@
 // log is closed.
 func (n *Node) Stop() error {
 	n.calls.drain()
+	n.handOver()
 	time.Sleep(replyLinger)
 	n.cancel()
 	n.peers.wait()
@@ -191,6 +192,28 @@
 	return n.log.Close()
 }
 
+// handOver lets another replica lead before this one stops, if one can.
+func (n *Node) handOver() {
+	if n.view.Load().role != replica.RoleLeader || !n.post(replica.StepAside{}) {
+		return
+	}
+	giveUp := time.NewTimer(n.set.Replication.ElectionTimeout)
+	defer giveUp.Stop()
+	for {
+		changed := n.changed.next()
+		if n.view.Load().role != replica.RoleLeader {
+			return
+		}
+		select {
+		case <-changed:
+		case <-giveUp.C:
+			return
+		case <-n.stop.Done():
+			return
+		}
+	}
+}
+
 // fail ends the node after an error that it can't go on from.
 func (n *Node) fail(err error) {
 	n.failOnce.Do(func() {
--- a/internal/control/driver/peers.go
+++ b/internal/control/driver/peers.go
@@ -37,6 +37,7 @@
 	gob.Register(replica.AppendRequest{})
 	gob.Register(replica.AppendReply{})
 	gob.Register(replica.SnapshotRequest{})
+	gob.Register(replica.TakeOver{})
 	gob.Register(replica.ReadRequest{})
 	gob.Register(replica.ReadReply{})
 })
--- a/internal/control/replica/change.go
+++ b/internal/control/replica/change.go
@@ -37,7 +37,7 @@
 // one starts, and if the leader has committed an entry of its term first.
 func (s *State) plan(change Change) (Membership, RefusalReason) {
 	switch {
-	case s.role != RoleLeader:
+	case s.role != RoleLeader || s.lead.leaving:
 		return Membership{}, RefusedNotLeader
 	case s.membersIndex > s.commit:
 		return Membership{}, RefusedPending
--- a/internal/control/replica/event.go
+++ b/internal/control/replica/event.go
@@ -39,6 +39,9 @@
 // Read asks for confirmation by a quorum that a read is current.
 type Read struct{ ID uint64 }
 
+// StepAside asks a leader to hand over to another voter before it stops.
+type StepAside struct{}
+
 // SnapshotSaved tells that a snapshot of this index is on disk, so that the
 // log before KeepFrom may go.
 type SnapshotSaved struct {
@@ -58,5 +61,6 @@
 func (Propose) event()       {}
 func (ChangeMembers) event() {}
 func (Read) event()          {}
+func (StepAside) event()     {}
 func (SnapshotSaved) event() {}
 func (SnapshotSent) event()  {}
--- a/internal/control/replica/lead.go
+++ b/internal/control/replica/lead.go
@@ -15,6 +15,11 @@
 	// since is when the leader was elected.
 	since    time.Duration
 	lastBeat time.Duration
+	// leaving is set while the leader hands over, asked once it has asked
+	// another to take over; leavingSince is when it began.
+	leaving      bool
+	asked        bool
+	leavingSince time.Duration
 }
 
 // progress is what the leader knows of one member.
@@ -97,6 +102,9 @@
 		s.becomeFollower(Identity{})
 		return
 	}
+	if s.now-s.lead.leavingSince > s.cfg.ElectionTimeout {
+		s.lead.leaving, s.lead.asked = false, false
+	}
 	if s.now-s.lead.lastBeat >= s.cfg.Heartbeat {
 		s.recoverSilent()
 		s.heartbeat()
@@ -229,7 +237,7 @@
 }
 
 func (s *State) propose(proposals []Proposal) {
-	if s.role != RoleLeader {
+	if s.role != RoleLeader || s.lead.leaving {
 		for _, proposal := range proposals {
 			s.emit(Refused{ID: proposal.ID, Reason: RefusedNotLeader})
 		}
@@ -264,6 +272,7 @@
 	}
 	s.confirmEchoes()
 	s.replicate(m.From, p)
+	s.handOver()
 }
 
 // resendLost probes again when a member answers a later round without having
--- a/internal/control/replica/message.go
+++ b/internal/control/replica/message.go
@@ -77,6 +77,10 @@
 	SentAt   time.Duration
 }
 
+// TakeOver asks a voter that holds the leader's whole log to stand for election
+// at once.
+type TakeOver struct{}
+
 // ReadRequest asks the leader to confirm a read for the sender.
 type ReadRequest struct {
 	ID   uint64
@@ -96,5 +100,6 @@
 func (AppendRequest) body()   {}
 func (AppendReply) body()     {}
 func (SnapshotRequest) body() {}
+func (TakeOver) body()        {}
 func (ReadRequest) body()     {}
 func (ReadReply) body()       {}
--- a/internal/control/replica/random_test.go
+++ b/internal/control/replica/random_test.go
@@ -51,8 +51,10 @@
 		sim.snapshot(node)
 	case what < 95:
 		sim.faultOn(node)
-	case what < 97:
+	case what < 96:
 		sim.change()
+	case what < 97:
+		sim.step(node, StepAside{})
 	default:
 		sim.recoverFrom(node)
 	}
--- a/internal/control/replica/scenario_test.go
+++ b/internal/control/replica/scenario_test.go
@@ -275,3 +275,42 @@
 	sim.run(4)
 	assert.Equal(t, sim.maxAcked(), lead.state.LastIndex())
 }
+
+// TestLeaderHandsOver lets the leader step aside while proposals are on their
+// way: the next one leads at once and holds them all.
+func TestLeaderHandsOver(t *testing.T) {
+	sim := settled(t)
+	old := sim.leader()
+	term := old.state.Term()
+	for i := range 10 {
+		sim.proposeAt(old, fmt.Sprint(i))
+	}
+	last := old.state.LastIndex()
+	sim.step(old, StepAside{})
+	refused := old.state.Step(Propose{Proposals: []Proposal{{ID: 9}}})
+	assert.DeepEqual(t, refused, []Effect{Refused{ID: 9, Reason: RefusedNotLeader}})
+	beats := int(simElection / simHeartbeat / 2) // no election timeout can end
+	sim.run(beats)
+	next := sim.leader()
+	assert.Assert(t, next != nil && next != old, sim.describe())
+	assert.Equal(t, next.state.Term(), term+1)
+	sim.run(4)
+	assert.Equal(t, sim.leader(), next)
+	assert.Assert(t, sim.maxAcked() > last, "the new leader has committed nothing")
+}
+
+// TestLeaderThatCanNotHandOverGoesOn has nobody to hand over to.
+func TestLeaderThatCanNotHandOverGoesOn(t *testing.T) {
+	sim := settled(t)
+	lead := sim.leader()
+	sim.proposeAt(lead, "x")
+	sim.step(lead, StepAside{})
+	sim.net = nil
+	lead.state.lead.leavingSince -= 2 * simElection
+	sim.run(2)
+	before := sim.maxAcked()
+	sim.proposeAt(lead, "y")
+	sim.run(4)
+	assert.Equal(t, sim.leader(), lead)
+	assert.Assert(t, sim.maxAcked() > before)
+}
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -21,6 +21,8 @@
 		s.changeMembers(e)
 	case Read:
 		s.read(e.ID)
+	case StepAside:
+		s.stepAside()
 	case SnapshotSaved:
 		s.snapshotSaved(e)
 	case SnapshotSent:
@@ -85,6 +87,8 @@
 		s.appendReply(m, body)
 	case SnapshotRequest:
 		s.installSnapshot(m, body)
+	case TakeOver:
+		s.takeOver(m)
 	case ReadRequest:
 		s.readRequest(m, body)
 	case ReadReply:
