--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,7 @@
 faults-doc:
 	$(GO) run ./internal/tools/faultmatrix > docs/FAULTS.md.new
 	mv docs/FAULTS.md.new docs/FAULTS.md
+
+# Checks the specifications in model/ and that each safety rule is needed.
+model:
+	model/run.sh
--- /dev/null
+++ b/model/need-spin.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Installs spin, the checker of make model, when it is missing.
+set -euo pipefail
+command -v spin >/dev/null && exit 0
+apt-get update -q
+apt-get install -y -q spin
