--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -37,6 +37,7 @@
 	random   *rand.Rand
 	shot     snapshotState // owned by the loop
 	disk     *diskQueue
+	calls    *calls
 	view     atomic.Pointer[view]
 	changed  *broadcast // of the view's leader or role
 	nextID   atomic.Uint64
@@ -83,11 +84,12 @@
 	n.self = replica.Identity{ID: n.set.Node.ID, Incarnation: found.Identity.Incarnation}
 	n.began = time.Now()
 	n.inbox = make(chan any, inboxSize)
-	n.proposed = make(chan proposal, proposalBatch)
-	n.asked = make(chan readWaiter, proposalBatch)
+	n.proposed = make(chan proposal, queueSize)
+	n.asked = make(chan readWaiter, queueSize)
 	n.waiters = newWaiters()
 	n.random = rand.New(rand.NewPCG(n.o.Seed, 0))
 	n.disk = newDiskQueue()
+	n.calls = newCalls()
 	n.changed = newBroadcast()
 	n.applied = newBroadcast()
 	n.stop, n.cancel = context.WithCancel(context.Background())
@@ -130,7 +132,7 @@
 		Boot:            rand.Uint64(),
 		Heartbeat:       n.set.Replication.Heartbeat,
 		ElectionTimeout: n.set.Replication.ElectionTimeout,
-		MaxBatchEntries: replica.DefaultMaxBatchEntries,
+		MaxBatchEntries: min(replica.DefaultMaxBatchEntries, n.o.GroupCommit),
 		MaxBatchBytes:   replica.DefaultMaxBatchBytes,
 		MaxInflight:     replica.DefaultMaxInflight,
 	}
@@ -169,12 +171,12 @@
 // Address returns the peers' address that the node listens on.
 func (n *Node) Address() string { return n.listener.Addr().String() }
 
-// Stop ends the node: calls that wait are answered, then the log is closed.
+// Stop ends the node: new calls are refused, those under way finish, then the
+// log is closed.
 func (n *Node) Stop() error {
+	n.calls.drain()
+	time.Sleep(replyLinger)
 	n.cancel()
-	n.applied.signal()
-	n.changed.signal()
-	n.disk.wake()
 	n.peers.wait()
 	n.client.Close()
 	n.server.Close()
