make faults: real control processes killed, frozen and cut off

Cause: reducers under random events prove nothing about processes, disks and sockets together. Ruled out: checks of single answers (they miss a stale read between two right ones); proxies between the processes (replicas tell each other their own addresses and go round them), so the settings' file of cuts is used. Change: tests/faults starts wigeon-control three times, lets four clients race with tickets, confirmed reads and claims, causes faults for 8 s and checks the whole history for linearizability with porcupine; fixed seeds for what clients and faults choose, not for the processes' timing.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 # Writes the example settings and tickets anew from the sizes in the tool.
 examples:
 	$(GO) run ./internal/tools/examples
+
+# Kills, stops and cuts off real processes on loopback and checks the histories
+# of what they answered; bounded to a few minutes.
+faults: build
+	$(GO) vet -tags faults ./tests/faults
+	$(GO) test -tags faults -count=1 -timeout 240s ./tests/faults
--- /dev/null
+++ b/tests/faults/group_test.go
@@ -0,0 +1,143 @@
+//go:build faults
+
+package faults
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
+)
+
+const (
+	replicas = 3
+	// callTimeout bounds one call of a test's client.
+	callTimeout = 2 * time.Second
+	// settleTimeout bounds the wait for the group to work again.
+	settleTimeout = 20 * time.Second
+)
+
+var dataCentres = [replicas]string{"oeste", "serra", "litoral"}
+
+// group is a control group of three processes.
+type group struct {
+	t         *testing.T
+	addresses []string
+	processes []*process
+	cutFiles  []string
+	client    *wire.Client
+}
+
+func startGroup(t *testing.T) *group {
+	t.Helper()
+	addresses := freeAddresses(t, 2*replicas)
+	g := &group{t: t, addresses: addresses[:replicas], client: wire.NewClient(nil)}
+	t.Cleanup(g.client.Close)
+	for i := range replicas {
+		g.cutFiles = append(g.cutFiles, filepath.Join(t.TempDir(), "cuts"))
+		g.processes = append(g.processes, launch(t, "wigeon-control", g.name(i), g.settings(i, addresses[replicas+i])))
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, p := range g.processes {
+				t.Logf("%s:\n%s", p.config, p.tail())
+			}
+		}
+	})
+	g.settle()
+	return g
+}
+
+func (g *group) name(i int) string { return "control-" + dataCentres[i] }
+
+func (g *group) settings(i int, operators string) string {
+	var ini strings.Builder
+	fmt.Fprintf(&ini, "group = faults\n\n[node]\nid = %s\ndata_centre = %s\n\n", g.name(i), dataCentres[i])
+	fmt.Fprintf(&ini, "[listen]\npeers = %s\noperators = %s\n\n", g.addresses[i], operators)
+	fmt.Fprintf(&ini, "[storage]\nfolder = data\nsnapshot_entries = 200\n\n[testing]\ncut_file = %s\n", g.cutFiles[i])
+	for j := range replicas {
+		fmt.Fprintf(&ini, "\n[member %s]\naddress = %s\ndata_centre = %s\n", g.name(j), g.addresses[j], dataCentres[j])
+	}
+	return ini.String()
+}
+
+// call calls one replica and returns its error, if it could be reached.
+func (g *group) call(i int, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return g.client.Call(ctx, g.addresses[i], method, args, reply)
+}
+
+func (g *group) status(i int) (controlrpc.StatusReply, error) {
+	var reply controlrpc.StatusReply
+	err := g.call(i, controlrpc.MethodStatus, &controlrpc.StatusArgs{}, &reply)
+	return reply, err
+}
+
+// leader returns the replica that says that it leads, in the latest term.
+func (g *group) leader() (int, bool) {
+	found, term := 0, uint64(0)
+	for i := range replicas {
+		status, err := g.status(i)
+		if err == nil && status.State == "leader" && status.Term > term {
+			found, term = i, status.Term
+		}
+	}
+	return found, term > 0
+}
+
+// settle waits until every replica has applied everything committed, as a
+// quorum confirms through each of them.
+func (g *group) settle() {
+	g.t.Helper()
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		version := uint64(0)
+		for i := range replicas {
+			var reply controlrpc.FetchReply
+			err := g.call(i, controlrpc.MethodFetch, &controlrpc.FetchArgs{Confirmed: true}, &reply)
+			if err != nil || reply.Result.Code != controlrpc.CodeOK {
+				return poll.Continue("%s: %v %v", g.name(i), err, reply.Result)
+			}
+			if i > 0 && reply.Applied != version {
+				return poll.Continue("%s has applied %d, not %d", g.name(i), reply.Applied, version)
+			}
+			version = reply.Applied
+		}
+		return poll.Success()
+	}, poll.WithTimeout(settleTimeout), poll.WithDelay(50*time.Millisecond))
+}
+
+// cut cuts what replica from dials off from replica to.
+func (g *group) cut(from int, kind wire.Cut, to ...int) {
+	g.t.Helper()
+	var lines strings.Builder
+	for _, i := range to {
+		fmt.Fprintf(&lines, "%s %s\n", g.addresses[i], kind)
+	}
+	written := g.cutFiles[from] + ".new"
+	assert.NilError(g.t, os.WriteFile(written, []byte(lines.String()), 0o644))
+	assert.NilError(g.t, os.Rename(written, g.cutFiles[from]))
+}
+
+// isolate cuts a replica off both ways; clients still reach it.
+func (g *group) isolate(i int) {
+	a, b := (i+1)%replicas, (i+2)%replicas
+	g.cut(i, wire.CutSilent, a, b)
+	g.cut(a, wire.CutSilent, i)
+	g.cut(b, wire.CutSilent, i)
+}
+
+func (g *group) heal() {
+	for _, file := range g.cutFiles {
+		_ = os.Remove(file)
+	}
+}
--- /dev/null
+++ b/tests/faults/tickets_test.go
@@ -0,0 +1,294 @@
+//go:build faults
+
+package faults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/clusterconfig"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
+)
+
+const (
+	operators = 4
+	objects   = 2
+	// faultTime is how long operators work while faults are caused.
+	faultTime = 8 * time.Second
+	// pace is the time between the operations of one operator.
+	pace = 30 * time.Millisecond
+)
+
+// ticketInput is a ticket that sets one object, or a confirmed read.
+type ticketInput struct {
+	read   bool
+	number uint64
+	object int
+	value  int64 // milliseconds of the service's deadline, to tell contents apart
+}
+
+type ticketOutput struct {
+	outcome api.TicketOutcome
+	version uint64
+	values  [objects]int64 // of a read
+}
+
+// ticketState is the rules of tickets, written apart from those checked.
+type ticketState struct {
+	version uint64
+	setBy   [objects]uint64
+	values  [objects]int64
+	known   string // " number/object/value@version" of each accepted ticket
+}
+
+func (s ticketState) apply(in ticketInput) (ticketState, ticketOutput) {
+	prefix := fmt.Sprintf(" %d/", in.number)
+	content := fmt.Sprintf("%s%d/%d@", prefix, in.object, in.value)
+	if at := strings.Index(s.known, content); at >= 0 {
+		var version uint64
+		_, _ = fmt.Sscan(s.known[at+len(content):], &version)
+		return s, ticketOutput{outcome: api.TicketAccepted, version: version}
+	}
+	if strings.Contains(s.known, prefix) {
+		return s, ticketOutput{outcome: api.TicketConflict}
+	}
+	if s.setBy[in.object] > in.number {
+		return s, ticketOutput{outcome: api.TicketStale}
+	}
+	s.version++
+	s.setBy[in.object] = in.number
+	s.values[in.object] = in.value
+	s.known += fmt.Sprintf("%s%d", content, s.version)
+	return s, ticketOutput{outcome: api.TicketAccepted, version: s.version}
+}
+
+func ticketModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return ticketState{} },
+		Step: func(state, input, output any) (bool, any) {
+			s, in := state.(ticketState), input.(ticketInput)
+			if in.read {
+				got := output.(ticketOutput)
+				return got.version == s.version && got.values == s.values, s
+			}
+			next, want := s.apply(in)
+			if output == nil {
+				return true, next
+			}
+			got := output.(ticketOutput)
+			if want.outcome != api.TicketAccepted {
+				got.version = 0
+			}
+			return got == want, next
+		},
+		DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+	}
+}
+
+// operate sends racing tickets and confirmed reads through all replicas until
+// ctx ends. Pairs of operators use the same numbers; a ticket without an
+// answer is sent again, through another replica.
+func operate(ctx context.Context, g *group, h *history) {
+	var wait sync.WaitGroup
+	for client := range operators {
+		wait.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(client)))
+			for n := uint64(1); ctx.Err() == nil; n++ {
+				in := ticketInput{number: n, object: random.IntN(objects), value: int64(n)*10 + int64(client)}
+				for tries := 0; tries < 3 && !sendTicket(g, h, client, random.IntN(replicas), in); tries++ {
+				}
+				readConfig(g, h, client, random.IntN(replicas))
+				time.Sleep(pace)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// sendTicket reports whether the ticket got an answer.
+func sendTicket(g *group, h *history, client, replica int, in ticketInput) bool {
+	args := &controlrpc.ApplyArgs{Ticket: api.Ticket{Number: in.number, Operator: fmt.Sprint(client), Services: []api.Service{{
+		Name: fmt.Sprint(in.object), Prefer: api.PreferDeadline, DeadlineMS: in.value,
+	}}}}
+	called := h.now()
+	var reply controlrpc.ApplyReply
+	err := g.call(replica, controlrpc.MethodApply, args, &reply)
+	switch {
+	case err != nil || reply.Result.Code != controlrpc.CodeOK:
+		if !notApplied(err, reply.Result) {
+			h.add(client, in, called, nil)
+		}
+		return false
+	case reply.Reply.Outcome == api.TicketAccepted:
+		h.add(client, in, called, ticketOutput{outcome: reply.Reply.Outcome, version: reply.Reply.Version})
+	default:
+		h.add(client, in, called, ticketOutput{outcome: reply.Reply.Outcome})
+	}
+	return true
+}
+
+func readConfig(g *group, h *history, client, replica int) {
+	called := h.now()
+	var reply controlrpc.FetchReply
+	err := g.call(replica, controlrpc.MethodFetch, &controlrpc.FetchArgs{Confirmed: true}, &reply)
+	if err != nil || reply.Result.Code != controlrpc.CodeOK {
+		return
+	}
+	cfg, err := clusterconfig.Apply(clusterconfig.Empty(), reply.Delta)
+	if err != nil {
+		g.t.Errorf("delta of %s: %v", g.name(replica), err)
+		return
+	}
+	out := ticketOutput{version: cfg.Version}
+	for i := range objects {
+		out.values[i] = cfg.Services[fmt.Sprint(i)].DeadlineMS
+	}
+	h.add(client, ticketInput{read: true}, called, out)
+}
+
+// underFaults runs work while nemesis causes faults, lets the group settle and
+// then runs after.
+func underFaults(g *group, work func(context.Context), nemesis func(random *rand.Rand)) {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), faultTime)
+	defer cancel()
+	var wait sync.WaitGroup
+	wait.Go(func() { work(ctx) })
+	random := rand.New(rand.NewPCG(7, 7))
+	for ctx.Err() == nil {
+		nemesis(random)
+	}
+	wait.Wait()
+	g.heal()
+	g.settle()
+}
+
+// pause lets the group run for a while under a fault.
+func pause(d time.Duration) { time.Sleep(d) }
+
+func checkTickets(t *testing.T, nemesis func(g *group, random *rand.Rand)) {
+	t.Helper()
+	g := startGroup(t)
+	h := newHistory()
+	underFaults(g, func(ctx context.Context) { operate(ctx, g, h) }, func(random *rand.Rand) { nemesis(g, random) })
+	for i := range replicas {
+		readConfig(g, h, i, i)
+	}
+	h.check(t, ticketModel())
+}
+
+// TestTicketsUnderKills kills control processes, the leader more often than
+// not, and restarts them from their disks.
+//
+// fault: kill x ticket
+// fault: kill x restart
+// fault: operators-racing x restart
+func TestTicketsUnderKills(t *testing.T) {
+	checkTickets(t, func(g *group, random *rand.Rand) {
+		pause(400 * time.Millisecond)
+		victim := random.IntN(replicas)
+		if leader, ok := g.leader(); ok && random.IntN(3) > 0 {
+			victim = leader
+		}
+		g.processes[victim].kill()
+		pause(600 * time.Millisecond)
+		g.processes[victim].start()
+	})
+}
+
+// TestTicketsWhileLeadersFreeze stops the leader for longer than an election
+// takes and lets it go on: it must not answer from its old belief.
+//
+// fault: stop-continue x ticket
+func TestTicketsWhileLeadersFreeze(t *testing.T) {
+	checkTickets(t, func(g *group, _ *rand.Rand) {
+		pause(300 * time.Millisecond)
+		leader, ok := g.leader()
+		if !ok {
+			return
+		}
+		g.processes[leader].freeze()
+		pause(1500 * time.Millisecond)
+		g.processes[leader].thaw()
+	})
+}
+
+// TestTicketsUnderCuts cuts the leader off both ways, then one way only: what
+// it dials goes silent, or what the others dial to it.
+//
+// fault: cut-both x ticket
+// fault: cut-one-way x ticket
+// fault: silent-connection x ticket
+func TestTicketsUnderCuts(t *testing.T) {
+	step := 0
+	checkTickets(t, func(g *group, _ *rand.Rand) {
+		leader, ok := g.leader()
+		if !ok {
+			pause(100 * time.Millisecond)
+			return
+		}
+		a, b := (leader+1)%replicas, (leader+2)%replicas
+		switch step++; step % 3 {
+		case 1:
+			g.isolate(leader)
+		case 2:
+			g.cut(leader, wire.CutSilent, a, b)
+		case 0:
+			g.cut(a, wire.CutSilentOld, leader)
+			g.cut(b, wire.CutSilentOld, leader)
+		}
+		pause(1500 * time.Millisecond)
+		g.heal()
+		pause(500 * time.Millisecond)
+	})
+}
+
+// TestLoneControlVM isolates a replica while hundreds of tickets are accepted:
+// it must refuse confirmed reads and tickets meanwhile, and hold everything
+// soon after the cut ends. The group restarts as a whole in the end.
+//
+// fault: control-alone x ticket
+// fault: cut-data-centre x ticket
+// fault: restart-after-changes x restart
+func TestLoneControlVM(t *testing.T) {
+	g := startGroup(t)
+	lone, ok := g.leader()
+	assert.Assert(t, ok)
+	g.isolate(lone)
+	h := newHistory()
+	other := (lone + 1) % replicas
+	const changes = 300
+	for n := uint64(1); n <= changes; n++ {
+		in := ticketInput{number: n, object: int(n) % objects, value: int64(n)}
+		for deadline := time.Now().Add(settleTimeout); !sendTicket(g, h, 0, other, in); {
+			assert.Assert(t, time.Now().Before(deadline), "ticket %d was not accepted", n)
+		}
+	}
+	var fetched controlrpc.FetchReply
+	err := g.call(lone, controlrpc.MethodFetch, &controlrpc.FetchArgs{Confirmed: true}, &fetched)
+	assert.Assert(t, err != nil || fetched.Result.Code != controlrpc.CodeOK, "isolated replica confirmed %+v", fetched)
+	assert.Assert(t, !sendTicket(g, h, 1, lone, ticketInput{number: changes + 1, value: 1}), "isolated replica accepted a ticket")
+	g.heal()
+	g.settle()
+	for _, p := range g.processes {
+		p.kill()
+	}
+	for _, p := range g.processes {
+		p.start()
+	}
+	g.settle()
+	for i := range replicas {
+		readConfig(g, h, i, i)
+	}
+	h.check(t, ticketModel())
+}
