--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 	$(GO) run ./internal/tools/faultmatrix > docs/FAULTS.md.new
 	mv docs/FAULTS.md.new docs/FAULTS.md
 
+# Checks the specifications in model/ and that each safety rule is needed.
+model:
+	model/run.sh
+
 # Measures the policies side by side; see docs/design/BENCH.md.
 bench:
 	@mkdir -p bin
@@ -32,3 +36,9 @@
 # Writes the example settings and tickets anew from the sizes in the tool.
 examples:
 	$(GO) run ./internal/tools/examples
+
+# Kills, stops and cuts off real processes on loopback and checks the histories
+# of what they answered; bounded to a few minutes.
+faults: build
+	$(GO) vet -tags faults ./tests/faults
+	$(GO) test -tags faults -count=1 -timeout 240s ./tests/faults
