--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
 )
 
 // fault: kill x announce
@@ -263,3 +265,89 @@
 		assert.Equal(t, n.deaths, 0, n.id)
 	}
 }
+
+// TestHalvesDoNotFlap cuts a data centre in two halves that declare each other
+// dead, and heals it. What one half believed must not make the other lose its
+// own members.
+//
+// fault: cut both ways x announce
+func TestHalvesDoNotFlap(t *testing.T) {
+	s := newSim(t, 4, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	half := func(id string) bool { return id == "oeste-0" || id == "oeste-1" }
+	s.cut = func(from, to *simNode) bool { return half(from.id) != half(to.id) }
+	s.run(time.Minute)
+	lost := 0
+	s.onEffect = func(n *simNode, e Effect) {
+		if _, ok := e.(MembersChanged); !ok {
+			return
+		}
+		for _, other := range s.live() {
+			if half(other.id) == half(n.id) && n.memberState(other.id) == "absent" {
+				lost++
+			}
+		}
+	}
+	s.cut = nil
+	s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
+	s.run(10 * time.Second)
+	assert.Equal(t, lost, 0, "a member of the own half was lost")
+}
+
+// TestFrozenNodeWithoutHeldMessages wakes with a suspicion that was refuted
+// meanwhile, a probe that was under way and leases that ran out, and with
+// nothing in its buffers.
+//
+// fault: stop and continue x restart
+func TestFrozenNodeWithoutHeldMessages(t *testing.T) {
+	for i := range 4 {
+		s := newSim(t, 4, "oeste")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		for j := range 8 {
+			defer s.renewing(announcement(targetID(j), "oeste", 1, "ready"))()
+		}
+		s.run(5*time.Second + time.Duration(i)*250*time.Millisecond)
+		frozen := s.nodes["oeste-0"]
+		accused := s.nodes["oeste-1"].state.Self()
+		accused.State = MemberSuspect
+		s.step(frozen, Received{At: s.now, Message: Message{
+			Kind: KindRecords, From: "oeste-2", To: "oeste-0", Members: []Member{accused},
+		}})
+		s.run(TickInterval)
+		frozen.frozen = true
+		s.run(20 * time.Second)
+		suspects := frozen.suspects
+		frozen.held = nil
+		// The lease check can't save it: only the settling time does.
+		s.lose = func(m Message) bool { return m.Kind == KindRenew || m.Kind == KindLeaseCheck }
+		s.thaw(frozen)
+		s.run(time.Second)
+		s.lose = nil
+		s.run(time.Minute)
+		assert.Assert(t, s.converged())
+		assert.Equal(t, frozen.deaths, 0)
+		assert.Equal(t, frozen.suspects, suspects)
+		for j := range 8 {
+			assert.DeepEqual(t, frozen.states[targetID(j)], []api.TargetState{"ready"})
+		}
+	}
+}
+
+// TestAccusedIsTold lets a member that is thought dead speak: it must hear of
+// that, or it would go on as if nothing were wrong.
+func TestAccusedIsTold(t *testing.T) {
+	s := newSim(t, 2, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	n := s.nodes["oeste-0"]
+	dead := s.nodes["oeste-1"].state.Self()
+	dead.State = MemberDead
+	n.state.putMember(dead)
+	told := 0
+	s.onEffect = func(_ *simNode, e Effect) {
+		if send, ok := e.(Send); ok && send.Message.Kind == KindRecords && len(send.Message.Members) == 1 {
+			told++
+		}
+	}
+	s.step(n, Received{At: s.now, Message: Message{Kind: KindAck, From: "oeste-1", To: "oeste-0"}})
+	assert.Equal(t, told, 1)
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -34,6 +34,8 @@
 	delay, jitter time.Duration
 	// cut says which messages the network loses.
 	cut func(from, to *simNode) bool
+	// lose, when set, says which messages are lost by what they carry.
+	lose func(m Message) bool
 	// onEffect, when set, sees each effect of a node.
 	onEffect func(n *simNode, e Effect)
 	// onSent, when set, sees the size of each encoded message.
@@ -205,6 +207,9 @@
 	if to == nil || s.random.Float64() < s.loss || s.cut != nil && s.cut(n, to) {
 		return
 	}
+	if s.lose != nil && s.lose(m) {
+		return
+	}
 	m = copyMessage(m)
 	delay := s.delay + time.Duration(s.random.Int64N(int64(s.jitter)+1))
 	s.after(delay, func() { s.deliver(e.Address, m) })
--- a/internal/membership/spread_test.go
+++ b/internal/membership/spread_test.go
@@ -178,14 +178,38 @@
 				s.step(renewing[0], Announced{At: s.now, Announcement: a})
 				blocked = false
 				s.run(2 * time.Second)
-				for _, n := range s.live() {
-					assert.Equal(t, n.targetState("lots-1"), a.State, n.id)
-				}
+			}
+			for _, n := range s.live() {
+				assert.DeepEqual(t, n.states["lots-1"], []api.TargetState{a.State})
 			}
 		})
 	}
 }
 
+// TestEvidenceRefutesAnEndedLease loses every renewal on its way to the owners
+// and every answer to their question. The node that the target renews at knows
+// better and must say so at once.
+//
+// fault: two at once x announce
+func TestEvidenceRefutesAnEndedLease(t *testing.T) {
+	s := newSim(t, 4, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	a := announcement("lots-1", "oeste", 1, "ready")
+	s.announce("oeste-0", a)
+	s.run(time.Second)
+	s.lose = func(m Message) bool { return m.Kind == KindRenew }
+	gone := 0
+	for range 300 {
+		s.step(s.nodes["oeste-0"], Announced{At: s.now, Announcement: a})
+		s.run(200 * time.Millisecond)
+		if s.nodes["oeste-0"].targetState("lots-1") != "ready" {
+			gone++
+		}
+	}
+	assert.Equal(t, gone, 0, "the node with the evidence took the target for gone")
+	s.runUntil(drainBound, "target back everywhere", func() bool { return s.everywhere("lots-1", "ready") })
+}
+
 // TestOwnersChange kills the owners of targets that go on renewing, one after
 // the other, and then lets a target end: the new owners must notice.
 //
@@ -245,11 +269,16 @@
 		late.frozen = true
 		s.announce("oeste-1", announcement("lots-1", "oeste", 2, "gone"))
 		s.run(away)
+		for _, n := range s.live() {
+			n.states["lots-1"] = nil
+		}
 		s.thaw(late)
 		s.run(20 * time.Second)
 		for _, n := range s.live() {
 			state := n.targetState("lots-1")
 			assert.Assert(t, state == "gone" || state == "", "%s has %s after %s", n.id, state, away)
+			back := n != late && slices.Contains(n.states["lots-1"], api.TargetReady)
+			assert.Assert(t, !back, "%s saw the target back after %s", n.id, away)
 		}
 	}
 }
