Tests that fail when a safeguard of the membership is taken out

A promise without a test that breaks without its mechanism is not proved. Ruled out: dropping the safeguards; each answers to another cause.

--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -266,6 +266,43 @@
 	}
 }
 
+// TestNobodysWordAloneKills brings the news of a death that a node believes
+// which was itself cut off: the member must have the time to refute it.
+func TestNobodysWordAloneKills(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	accused := s.nodes["oeste-1"].state.Self()
+	accused.State = MemberDead
+	n := s.nodes["oeste-0"]
+	for _, from := range []string{"oeste-2", "oeste-2"} {
+		s.step(n, Received{At: s.now, Message: Message{
+			Kind: KindRecords, From: from, To: n.id, Members: []Member{accused},
+		}})
+		assert.Equal(t, n.memberState("oeste-1"), "suspect")
+	}
+	s.runUntil(time.Second, "refuted", s.converged)
+	assert.Equal(t, n.deaths, 0)
+}
+
+// TestShortFreezeDuringAProbe freezes a node between a probe and its answer,
+// for less time than would make it count as cut off.
+//
+// fault: stop and continue x restart
+func TestShortFreezeDuringAProbe(t *testing.T) {
+	s := newSim(t, 4, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	n := s.nodes["oeste-0"]
+	for n.state.probes.pending.target == "" {
+		s.run(time.Millisecond)
+	}
+	n.frozen = true
+	s.run(3 * time.Second)
+	n.held = nil
+	s.thaw(n)
+	s.run(10 * time.Second)
+	assert.Equal(t, n.suspects, 0, "the woken node accused another")
+}
+
 // TestHalvesDoNotFlap cuts a data centre in two halves that declare each other
 // dead, and heals it. What one half believed must not make the other lose its
 // own members.
