--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -142,11 +142,11 @@
 }
 
 // scanLeases ends the leases that this node keeps and that were not renewed.
-// A node that is cut off, or was frozen, can't tell a dead target from its own
-// trouble and ends none.
+// A node that is cut off can't tell a dead target from its own trouble and ends
+// none; one that was frozen has begun its leases again.
 func (s *State) scanLeases() {
 	s.refreshOwned()
-	if s.isolated || s.quiet() {
+	if s.isolated {
 		return
 	}
 	for _, t := range s.owned {
--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -198,14 +198,19 @@
 			s.cut = tt.cut
 			s.run(time.Minute)
 			deaths := map[string]int{}
+			incarnations := map[string]uint64{}
 			for _, n := range s.live() {
 				deaths[n.id] = n.deaths
+				incarnations[n.id] = n.state.Self().Incarnation
 			}
 			s.cut = nil
 			s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
 			s.run(10 * time.Second)
 			for _, n := range s.live() {
 				assert.Equal(t, n.deaths, deaths[n.id], "%s declared somebody dead after the cut", n.id)
+				if n.id != "oeste-0" && tt.name == "both ways" {
+					assert.Equal(t, n.state.Self().Incarnation, incarnations[n.id], "%s had to refute", n.id)
+				}
 			}
 		})
 	}
@@ -292,13 +297,17 @@
 	s := newSim(t, 4, "oeste")
 	s.runUntil(20*time.Second, "membership complete", s.converged)
 	n := s.nodes["oeste-0"]
-	for n.state.probes.pending.target == "" {
-		s.run(time.Millisecond)
+	for range 5 {
+		s.run(3 * time.Second)
+		for n.state.probes.pending.target == "" {
+			s.run(100 * time.Microsecond)
+		}
+		n.frozen = true
+		s.run(2 * time.Second)
+		n.held = nil
+		s.thaw(n)
+		s.step(n, Tick{At: s.now})
 	}
-	n.frozen = true
-	s.run(3 * time.Second)
-	n.held = nil
-	s.thaw(n)
 	s.run(10 * time.Second)
 	assert.Equal(t, n.suspects, 0, "the woken node accused another")
 }
--- a/internal/membership/spread_test.go
+++ b/internal/membership/spread_test.go
@@ -277,7 +277,11 @@
 		s.run(20 * time.Second)
 		for _, n := range s.live() {
 			state := n.targetState("lots-1")
-			assert.Assert(t, state == "gone" || state == "", "%s has %s after %s", n.id, state, away)
+			want := api.TargetGone
+			if away > timing.Retention {
+				want = ""
+			}
+			assert.Equal(t, state, want, "%s after %s", n.id, away)
 			back := n != late && slices.Contains(n.states["lots-1"], api.TargetReady)
 			assert.Assert(t, !back, "%s saw the target back after %s", n.id, away)
 		}
