Seeds under another name, a late start, and silent connections

Cause: a seed whose section name in the settings isn't the node's id was never joined, since messages carry the id that they are meant for (TestSeedUnderAnotherName failed: not complete within 5 s); a service made more than 1 s before its start told operators that it had stood still (TestLateStartIsNoFreeze failed). Ruled out: taking every message without a name; only an introduction may come so, or a new process would answer for an old one. Change: seeds are introduced to by address; the first tick begins the clocks. Conclusion: both mended; the silent connections needed no change.

--- a/internal/membership/bridge.go
+++ b/internal/membership/bridge.go
@@ -157,11 +157,13 @@
 	return list
 }
 
+// rejoinCandidates returns the seeds that no member answers for, without their
+// names, which the settings may have wrong, and the dead members.
 func (s *State) rejoinCandidates() []Seed {
 	var list []Seed
 	for _, seed := range s.seeds {
-		if e := s.members[seed.ID]; e == nil || e.State == MemberDead && e.Address != seed.Address {
-			list = append(list, seed)
+		if !s.listedAt(seed.Address) {
+			list = append(list, Seed{Address: seed.Address, DataCentre: seed.DataCentre})
 		}
 	}
 	for _, id := range sortedKeys(s.members) {
@@ -176,6 +178,15 @@
 	return list
 }
 
+func (s *State) listedAt(address string) bool {
+	for _, e := range s.members {
+		if e.Address == address && (e.Listed() || e.State == MemberLeft) {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectsAndLive returns the listed members but this node.
 func (s *State) suspectsAndLive() []string {
 	var ids []string
--- a/internal/membership/driver/service_test.go
+++ b/internal/membership/driver/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,7 +58,93 @@
 	return len(n.members), n.targets["lots-1"]
 }
 
+// silencer opens connections that it can make silent for good: what is written
+// to them is lost and nothing more is read. New ones work.
+type silencer struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *silencer) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := wire.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn, closed: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+	return c, nil
+}
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestSilentConnections makes every connection between the nodes silent: news
+// must still arrive, over new ones, and nobody be taken for dead.
+//
+// fault: silent connection x drain
+// fault: silent connection x announce
+func TestSilentConnections(t *testing.T) {
+	var s silencer
+	nodes := startNodesDialling(t, 3, s.dial)
+	a := api.Announcement{
+		Target: "lots-1", Incarnation: 1, Sequence: 1, Service: "lots", Address: "127.0.0.1:9000",
+		DataCentre: "oeste", State: api.TargetReady, Slots: 3, Connections: 30, LeaseMS: 60_000,
+	}
+	_, err := nodes[0].service.Announce(context.Background(), a)
+	assert.NilError(t, err)
+	for _, n := range nodes {
+		waitSeen(t, n, 3, api.TargetReady)
+	}
+	s.silence()
+	a.Sequence, a.State = 2, api.TargetDraining
+	_, err = nodes[1].service.Announce(context.Background(), a)
+	assert.NilError(t, err)
+	for _, n := range nodes {
+		waitSeen(t, n, 3, api.TargetDraining)
+	}
+}
+
 func startNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	return startNodesDialling(t, count, nil)
+}
+
+func startNodesDialling(t *testing.T, count int, dial wire.DialFunc) []*node {
 	t.Helper()
 	listeners := make([]net.Listener, count)
 	seeds := make([]settings.Peer, count)
@@ -69,7 +156,7 @@
 	}
 	nodes := make([]*node, count)
 	for i := range nodes {
-		n := &node{id: seeds[i].ID, server: wire.NewServer(), client: wire.NewClient(nil), targets: map[api.TargetID]api.TargetState{}}
+		n := &node{id: seeds[i].ID, server: wire.NewServer(), client: wire.NewClient(dial), targets: map[api.TargetID]api.TargetState{}}
 		n.service = New(Config{
 			ID:          n.id,
 			Address:     seeds[i].Address,
--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -397,3 +397,34 @@
 	s.step(n, Received{At: s.now, Message: Message{Kind: KindAck, From: "oeste-1", To: "oeste-0"}})
 	assert.Equal(t, told, 1)
 }
+
+// TestSeedUnderAnotherName joins through a seed whose name in the settings
+// isn't the node's id.
+func TestSeedUnderAnotherName(t *testing.T) {
+	s := newSim(t, 1, "oeste")
+	s.seeds = []Seed{{ID: "first", Address: "oeste-0", DataCentre: "oeste"}}
+	s.startNode("serra-0", "serra", 1)
+	s.runUntil(5*time.Second, "membership complete", s.converged)
+	s.run(5 * time.Second)
+	pings := 0
+	s.onEffect = func(_ *simNode, e Effect) {
+		if send, ok := e.(Send); ok && send.Message.Kind == KindPing && send.Message.To == "" {
+			pings++
+		}
+	}
+	s.run(30 * time.Second)
+	assert.Equal(t, pings, 0, "the seed is still looked for")
+}
+
+// TestLateStartIsNoFreeze lets time pass between the making of the state and
+// the first tick.
+func TestLateStartIsNoFreeze(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	state := New(Config{Self: Member{ID: "a", DataCentre: "oeste"}, Timing: DefaultTiming()}, at)
+	for _, later := range []time.Duration{time.Minute, time.Minute + TickInterval} {
+		for _, effect := range state.Step(Tick{At: at.Add(later)}) {
+			_, isNote := effect.(Note)
+			assert.Assert(t, !isNote, "%+v", effect)
+		}
+	}
+}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -7,9 +7,11 @@
 const tellInterval = time.Second
 
 // receive takes a message. One that is addressed to another member was meant
-// for an earlier process at this address and must not be answered for it.
+// for an earlier process at this address and must not be answered for it. Only
+// an introduction may come without a name.
 func (s *State) receive(m Message) {
-	if m.To != s.self || m.From == s.self {
+	introduction := m.To == "" && m.Kind == KindPing
+	if m.From == s.self || m.To != s.self && !introduction {
 		return
 	}
 	s.heard(m)
@@ -82,6 +84,9 @@
 // it knew may be old: it accuses nobody, ends no lease and pushes nothing for
 // a while, and asks its peers for what it missed.
 func (s *State) noticeFreeze() {
+	if s.lastTick.IsZero() {
+		return
+	}
 	gap := s.now.Sub(s.lastTick)
 	if gap < s.timing.FrozenGap {
 		return
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -66,7 +66,8 @@
 	isolated bool
 	// quietUntil is when a node that was frozen may accuse again.
 	quietUntil time.Time
-	lastTick   time.Time
+	// lastTick is when the last tick came; zero before the first.
+	lastTick time.Time
 }
 
 // schedule holds when each periodic job is next due.
@@ -100,8 +101,6 @@
 	cfg.Self.State = MemberAlive
 	s.putMember(cfg.Self)
 	s.heardAt = now
-	s.lastTick = now
-	s.stagger(now)
 	return s
 }
 
@@ -148,6 +147,10 @@
 }
 
 func (s *State) tick() {
+	if s.lastTick.IsZero() {
+		s.heardAt = s.now
+		s.stagger(s.now)
+	}
 	s.lastTick = s.now
 	s.noticeIsolation()
 	s.stepProbes()
