Configuration sync: call back without its lock, and never is not just now

Cause: OnConfig ran under the service's lock; an entry node that asks Ready or Age under a lock of its own while the callback waits for that lock would have stood still for good (found by reading; TestOnConfigMayAskTheService hung). An age of -1 ns is 0 ms once converted: a configuration never confirmed was shown as confirmed just now (the same test failed on it). Ruled out: telling callers not to ask; the order between ready and in force would still rest on them. Change: versions are put in force by a goroutine of their own; the service is ready, and at a version, once the callback has returned; never is -1 ms. Conclusion: the callback may ask anything.

--- a/internal/configsync/follow/state.go
+++ b/internal/configsync/follow/state.go
@@ -207,11 +207,15 @@
 	return s.current.Version
 }
 
+// neverConfirmed is the age of a version that no quorum has confirmed; it is
+// negative in milliseconds too.
+const neverConfirmed = -time.Millisecond
+
 // Age returns the time since a quorum last confirmed the version in force;
 // negative means never.
 func (s *State) Age(now time.Time) time.Duration {
 	if s.confirmed.IsZero() {
-		return -1
+		return neverConfirmed
 	}
 	return max(0, now.Sub(s.confirmed))
 }
--- a/internal/configsync/service.go
+++ b/internal/configsync/service.go
@@ -33,9 +33,10 @@
 	Peers  func() []api.EntryMember
 	Client *wire.Client
 	Logger *zap.Logger
-	// OnConfig is called with each higher version, one call at a time; age is
-	// the time since a control quorum confirmed it, negative for never. It
-	// must not call the Service.
+	// OnConfig is called with higher versions, one call at a time; versions that
+	// come during a call are skipped but for the last. Age is the time since a
+	// control quorum confirmed it, negative for never. The Service counts as
+	// ready, and as at the version, once OnConfig has returned.
 	OnConfig func(cfg api.Configuration, age time.Duration)
 }
 
@@ -46,9 +47,17 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
+	wake chan struct{}
+
 	mu      sync.Mutex
 	stopped bool
 	state   *follow.State
+	// applied is what OnConfig has yet to be called with; nil for nothing.
+	applied *follow.Applied
+	// inForce is the version that OnConfig was last called with.
+	inForce uint64
+	// ready stays true once the version that made the reducer ready is in force.
+	ready bool
 }
 
 // New returns a service that has not started.
@@ -56,7 +65,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	s := &Service{cfg: cfg}
+	s := &Service{cfg: cfg, wake: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	controls := make([]follow.Control, 0, len(cfg.Controls))
 	for _, c := range cfg.Controls {
@@ -79,11 +88,8 @@
 
 // Start begins to follow. It returns at once.
 func (s *Service) Start() {
-	s.running.Add(1)
-	go func() {
-		defer s.running.Done()
-		s.runTicks()
-	}()
+	s.running.Go(s.runTicks)
+	s.running.Go(s.runApplied)
 }
 
 // Stop ends the service and waits for calls that are under way.
@@ -99,14 +105,14 @@
 func (s *Service) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Ready()
+	return s.ready
 }
 
 // Version returns the version in force.
 func (s *Service) Version() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Version()
+	return s.inForce
 }
 
 // Age returns the time since a control quorum last confirmed the version in
@@ -147,18 +153,55 @@
 		case follow.AskPeer:
 			s.running.Go(func() { s.askPeer(e) })
 		case follow.Applied:
-			s.applied(e)
+			s.applied = &e
 		case follow.Note:
 			noteEvents[e.Kind].Log(s.cfg.Logger, zap.String("subject", e.Subject), zap.Uint64("version", e.Version))
 		}
 	}
+	s.noteReady()
+	if s.applied != nil {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
-func (s *Service) applied(e follow.Applied) {
-	telemetry.ConfigApplied.Log(s.cfg.Logger, zap.Uint64("version", e.Configuration.Version))
+// noteReady finds out whether what made the reducer ready is in force.
+func (s *Service) noteReady() {
+	if s.state.Ready() && s.inForce == s.state.Version() {
+		s.ready = true
+	}
+}
+
+// runApplied calls OnConfig without the lock: the entry node may hold a lock of
+// its own when it asks the Service.
+func (s *Service) runApplied() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.wake:
+		}
+		s.mu.Lock()
+		e := s.applied
+		s.applied = nil
+		s.mu.Unlock()
+		if e != nil {
+			s.putInForce(*e)
+		}
+	}
+}
+
+func (s *Service) putInForce(e follow.Applied) {
 	if s.cfg.OnConfig != nil {
 		s.cfg.OnConfig(e.Configuration, e.Age)
 	}
+	telemetry.ConfigApplied.Log(s.cfg.Logger, zap.Uint64("version", e.Configuration.Version))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inForce = e.Configuration.Version
+	s.noteReady()
 }
 
 func (s *Service) askControl(e follow.AskControl) {
--- a/internal/configsync/service_test.go
+++ b/internal/configsync/service_test.go
@@ -100,3 +100,34 @@
 	defer mu.Unlock()
 	assert.DeepEqual(t, got, []uint64{41, 42})
 }
+
+// TestOnConfigMayAskTheService lets the callback and another goroutine ask the
+// service under a lock of their own, as an entry node does.
+func TestOnConfigMayAskTheService(t *testing.T) {
+	cfg := clusterconfig.Empty()
+	cfg.Version = 3
+	address, _ := serve(t, "Control", &fakeControl{cfg: cfg})
+	client := wire.NewClient(nil)
+	t.Cleanup(client.Close)
+	var service *Service
+	var seen []uint64
+	done := make(chan struct{})
+	service = New(Config{
+		Self:     settings.Node{ID: "a", DataCentre: "oeste"},
+		Controls: []settings.Peer{{ID: "c1", Address: address, DataCentre: "oeste"}},
+		Client:   client,
+		OnConfig: func(api.Configuration, time.Duration) {
+			seen = append(seen, service.Version())
+			if service.Ready() {
+				t.Error("ready before the configuration is in force")
+			}
+			close(done)
+		},
+	})
+	assert.Assert(t, service.Age().Milliseconds() < 0, "never confirmed looks like just now")
+	service.Start()
+	t.Cleanup(service.Stop)
+	<-done
+	assert.DeepEqual(t, seen, []uint64{0})
+	waitFor(t, "ready at 3", func() bool { return service.Ready() && service.Version() == 3 })
+}
