Two nodes with one id: the later stands, the other finds itself cut off

Cause: nothing said what happens when two VMs' settings name the same id. Tried and reverted: a limit on how often a node refutes and a log event for the case; the two never hear of each other, because every message goes to the address of the later one, so the limit had nothing to do. Conclusion: no change of code needed.

--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -428,3 +428,32 @@
 		}
 	}
 }
+
+// TestTwoNodesWithOneID starts two VMs whose settings name the same id. The
+// later one stands; the other must find itself cut off, which operators see,
+// and neither may flood the others.
+func TestTwoNodesWithOneID(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	first := s.nodes["oeste-2"]
+	twin := s.startNode("oeste-2", "oeste", 5)
+	twin.state = New(Config{
+		Self:       Member{ID: "oeste-2", Address: "twin", DataCentre: "oeste", Incarnation: 5},
+		Seeds:      s.seeds,
+		Timing:     s.timing,
+		RandomSeed: 1,
+	}, s.now)
+	s.address["oeste-2"] = first
+	s.address["twin"] = twin
+	sent := func() (messages int) {
+		for _, n := range s.started {
+			messages += n.sentMsgs
+		}
+		return messages
+	}
+	before := sent()
+	s.run(time.Minute)
+	assert.Assert(t, sent()-before < 60*60, "%d messages in a minute", sent()-before)
+	assert.Assert(t, first.isolations > 0)
+	assert.Equal(t, s.nodes["oeste-0"].state.members["oeste-2"].Address, "twin")
+}
