--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
 )
 
 // fault: kill x announce
@@ -196,14 +198,19 @@
 			s.cut = tt.cut
 			s.run(time.Minute)
 			deaths := map[string]int{}
+			incarnations := map[string]uint64{}
 			for _, n := range s.live() {
 				deaths[n.id] = n.deaths
+				incarnations[n.id] = n.state.Self().Incarnation
 			}
 			s.cut = nil
 			s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
 			s.run(10 * time.Second)
 			for _, n := range s.live() {
 				assert.Equal(t, n.deaths, deaths[n.id], "%s declared somebody dead after the cut", n.id)
+				if n.id != "oeste-0" && tt.name == "both ways" {
+					assert.Equal(t, n.state.Self().Incarnation, incarnations[n.id], "%s had to refute", n.id)
+				}
 			}
 		})
 	}
@@ -263,3 +270,190 @@
 		assert.Equal(t, n.deaths, 0, n.id)
 	}
 }
+
+// TestNobodysWordAloneKills brings the news of a death that a node believes
+// which was itself cut off: the member must have the time to refute it.
+func TestNobodysWordAloneKills(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	accused := s.nodes["oeste-1"].state.Self()
+	accused.State = MemberDead
+	n := s.nodes["oeste-0"]
+	for _, from := range []string{"oeste-2", "oeste-2"} {
+		s.step(n, Received{At: s.now, Message: Message{
+			Kind: KindRecords, From: from, To: n.id, Members: []Member{accused},
+		}})
+		assert.Equal(t, n.memberState("oeste-1"), "suspect")
+	}
+	s.runUntil(time.Second, "refuted", s.converged)
+	assert.Equal(t, n.deaths, 0)
+}
+
+// TestShortFreezeDuringAProbe freezes a node between a probe and its answer,
+// for less time than would make it count as cut off.
+//
+// fault: stop and continue x restart
+func TestShortFreezeDuringAProbe(t *testing.T) {
+	s := newSim(t, 4, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	n := s.nodes["oeste-0"]
+	for range 5 {
+		s.run(3 * time.Second)
+		for n.state.probes.pending.target == "" {
+			s.run(100 * time.Microsecond)
+		}
+		n.frozen = true
+		s.run(2 * time.Second)
+		n.held = nil
+		s.thaw(n)
+		s.step(n, Tick{At: s.now})
+	}
+	s.run(10 * time.Second)
+	assert.Equal(t, n.suspects, 0, "the woken node accused another")
+}
+
+// TestHalvesDoNotFlap cuts a data centre in two halves that declare each other
+// dead, and heals it. What one half believed must not make the other lose its
+// own members.
+//
+// fault: cut both ways x announce
+func TestHalvesDoNotFlap(t *testing.T) {
+	s := newSim(t, 4, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	half := func(id string) bool { return id == "oeste-0" || id == "oeste-1" }
+	s.cut = func(from, to *simNode) bool { return half(from.id) != half(to.id) }
+	s.run(time.Minute)
+	lost := 0
+	s.onEffect = func(n *simNode, e Effect) {
+		if _, ok := e.(MembersChanged); !ok {
+			return
+		}
+		for _, other := range s.live() {
+			if half(other.id) == half(n.id) && n.memberState(other.id) == "absent" {
+				lost++
+			}
+		}
+	}
+	s.cut = nil
+	s.runUntil(20*time.Second, "membership complete after the cut", s.converged)
+	s.run(10 * time.Second)
+	assert.Equal(t, lost, 0, "a member of the own half was lost")
+}
+
+// TestFrozenNodeWithoutHeldMessages wakes with a suspicion that was refuted
+// meanwhile, a probe that was under way and leases that ran out, and with
+// nothing in its buffers.
+//
+// fault: stop and continue x restart
+func TestFrozenNodeWithoutHeldMessages(t *testing.T) {
+	for i := range 4 {
+		s := newSim(t, 4, "oeste")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		for j := range 8 {
+			defer s.renewing(announcement(targetID(j), "oeste", 1, "ready"))()
+		}
+		s.run(5*time.Second + time.Duration(i)*250*time.Millisecond)
+		frozen := s.nodes["oeste-0"]
+		accused := s.nodes["oeste-1"].state.Self()
+		accused.State = MemberSuspect
+		s.step(frozen, Received{At: s.now, Message: Message{
+			Kind: KindRecords, From: "oeste-2", To: "oeste-0", Members: []Member{accused},
+		}})
+		s.run(TickInterval)
+		frozen.frozen = true
+		s.run(20 * time.Second)
+		suspects := frozen.suspects
+		frozen.held = nil
+		// The lease check can't save it: only the settling time does.
+		s.lose = func(m Message) bool { return m.Kind == KindRenew || m.Kind == KindLeaseCheck }
+		s.thaw(frozen)
+		s.run(time.Second)
+		s.lose = nil
+		s.run(time.Minute)
+		assert.Assert(t, s.converged())
+		assert.Equal(t, frozen.deaths, 0)
+		assert.Equal(t, frozen.suspects, suspects)
+		for j := range 8 {
+			assert.DeepEqual(t, frozen.states[targetID(j)], []api.TargetState{"ready"})
+		}
+	}
+}
+
+// TestAccusedIsTold lets a member that is thought dead speak: it must hear of
+// that, or it would go on as if nothing were wrong.
+func TestAccusedIsTold(t *testing.T) {
+	s := newSim(t, 2, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	n := s.nodes["oeste-0"]
+	dead := s.nodes["oeste-1"].state.Self()
+	dead.State = MemberDead
+	n.state.putMember(dead)
+	told := 0
+	s.onEffect = func(_ *simNode, e Effect) {
+		if send, ok := e.(Send); ok && send.Message.Kind == KindRecords && len(send.Message.Members) == 1 {
+			told++
+		}
+	}
+	s.step(n, Received{At: s.now, Message: Message{Kind: KindAck, From: "oeste-1", To: "oeste-0"}})
+	assert.Equal(t, told, 1)
+}
+
+// TestSeedUnderAnotherName joins through a seed whose name in the settings
+// isn't the node's id.
+func TestSeedUnderAnotherName(t *testing.T) {
+	s := newSim(t, 1, "oeste")
+	s.seeds = []Seed{{ID: "first", Address: "oeste-0", DataCentre: "oeste"}}
+	s.startNode("serra-0", "serra", 1)
+	s.runUntil(5*time.Second, "membership complete", s.converged)
+	s.run(5 * time.Second)
+	pings := 0
+	s.onEffect = func(_ *simNode, e Effect) {
+		if send, ok := e.(Send); ok && send.Message.Kind == KindPing && send.Message.To == "" {
+			pings++
+		}
+	}
+	s.run(30 * time.Second)
+	assert.Equal(t, pings, 0, "the seed is still looked for")
+}
+
+// TestLateStartIsNoFreeze lets time pass between the making of the state and
+// the first tick.
+func TestLateStartIsNoFreeze(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	state := New(Config{Self: Member{ID: "a", DataCentre: "oeste"}, Timing: DefaultTiming()}, at)
+	for _, later := range []time.Duration{time.Minute, time.Minute + TickInterval} {
+		for _, effect := range state.Step(Tick{At: at.Add(later)}) {
+			_, isNote := effect.(Note)
+			assert.Assert(t, !isNote, "%+v", effect)
+		}
+	}
+}
+
+// TestTwoNodesWithOneID starts two VMs whose settings name the same id. The
+// later one stands; the other must find itself cut off, which operators see,
+// and neither may flood the others.
+func TestTwoNodesWithOneID(t *testing.T) {
+	s := newSim(t, 3, "oeste")
+	s.runUntil(20*time.Second, "membership complete", s.converged)
+	first := s.nodes["oeste-2"]
+	twin := s.startNode("oeste-2", "oeste", 5)
+	twin.state = New(Config{
+		Self:       Member{ID: "oeste-2", Address: "twin", DataCentre: "oeste", Incarnation: 5},
+		Seeds:      s.seeds,
+		Timing:     s.timing,
+		RandomSeed: 1,
+	}, s.now)
+	s.address["oeste-2"] = first
+	s.address["twin"] = twin
+	sent := func() (messages int) {
+		for _, n := range s.started {
+			messages += n.sentMsgs
+		}
+		return messages
+	}
+	before := sent()
+	s.run(time.Minute)
+	assert.Assert(t, sent()-before < 60*60, "%d messages in a minute", sent()-before)
+	assert.Assert(t, first.isolations > 0)
+	assert.Equal(t, s.nodes["oeste-0"].state.members["oeste-2"].Address, "twin")
+}
