--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -86,11 +86,16 @@
 func measurePart(ctx context.Context, e Experiment, runs []policyRun, part Part, seed uint64) ([]Result, error) {
 	results := make([]Result, len(runs))
 	errs := make([]error, len(runs))
+	delays := watchMachine()
 	var wait sync.WaitGroup
 	for i, r := range runs {
 		wait.Go(func() { results[i], errs[i] = r.measure(ctx, e, part, seed) })
 	}
 	wait.Wait()
+	delay := delays.stop()
+	for i := range results {
+		results[i].MachineDelayMS = delay
+	}
 	return results, errors.Join(errs...)
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"wigeonbay/internal/api"
@@ -30,6 +31,9 @@
 	stopTimeout = 10 * time.Second
 )
 
+// startAttempts bounds how often the entry nodes are started on new addresses.
+const startAttempts = 5
+
 // dataCentre is where everything of a testbed runs.
 const dataCentre = "oeste"
 
@@ -103,7 +107,19 @@
 	return b.awaitReady(ctx)
 }
 
+// startEntries starts the entry nodes, on other addresses when somebody else
+// has taken one in the meantime.
 func (b *Bed) startEntries(ctx context.Context) error {
+	for attempt := 1; ; attempt++ {
+		err := b.tryEntries(ctx)
+		if err == nil || attempt == startAttempts || !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+		_ = b.stopEntries()
+	}
+}
+
+func (b *Bed) tryEntries(ctx context.Context) error {
 	all, err := b.entrySettings()
 	if err != nil {
 		return err
@@ -257,6 +273,10 @@
 		b.Client.Close()
 	}
 	b.announcer.CloseIdleConnections()
+	return b.stopEntries()
+}
+
+func (b *Bed) stopEntries() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	errs := make([]error, len(b.entries))
@@ -265,5 +285,6 @@
 		wait.Go(func() { errs[i] = node.Stop(ctx) })
 	}
 	wait.Wait()
+	b.entries = nil
 	return errors.Join(errs...)
 }
