--- a/internal/configsync/follow/follow.go
+++ b/internal/configsync/follow/follow.go
@@ -10,7 +10,7 @@
 // follow keeps one poll going at the preferred control process that isn't
 // avoided, and looks at a peer's version now and then.
 func (s *State) follow() {
-	if s.poll == 0 {
+	if s.poll == 0 && !s.now.Before(s.pollAt) {
 		s.pollNext()
 	}
 	if s.now.Before(s.nextPeer) {
@@ -58,13 +58,17 @@
 		return
 	}
 	delete(s.asked, e.Token)
-	if e.Token == s.poll {
-		s.poll = 0
-	}
+	before := s.current.Version
 	good := !e.Failed && e.Reply.Result.Code == controlrpc.CodeOK
 	if good {
 		good = s.takeControlReply(a, e.Reply)
 	}
+	if e.Token == s.poll {
+		s.poll = 0
+		if good && s.current.Version == before {
+			s.pollAt = a.at.Add(s.timing.PollInterval)
+		}
+	}
 	if s.ready {
 		s.judgeControl(a, e, good)
 		return
@@ -97,7 +101,8 @@
 
 // judgeControl decides whether to stay with a control process: one that is
 // silent, slow, behind this node or long without a quorum is avoided for a
-// while.
+// while. One that was avoided must answer its first poll in time, and is
+// forgiven only after a second good one.
 func (s *State) judgeControl(a ask, e ControlAnswered, good bool) {
 	c := a.control
 	if s.now.Sub(a.at) > a.wait+s.timing.Slow {
@@ -107,12 +112,15 @@
 	}
 	age := quorumAge(e.Reply)
 	isolated := age < 0 || age > s.timing.MaxQuorumAge
-	if !good || isolated || c.slow >= s.timing.SlowLimit {
+	slow := c.slow >= s.timing.SlowLimit || c.slow > 0 && !c.trusted
+	if !good || isolated || slow {
 		s.avoid(c)
 		return
 	}
+	if c.trusted {
+		c.avoid = 0
+	}
 	c.trusted = true
-	c.avoid = 0
 }
 
 func (s *State) avoid(c *control) {
@@ -122,6 +130,7 @@
 	c.avoidUntil = s.now.Add(c.avoid + spread)
 	c.trusted = false
 	c.slow = 0
+	s.pollAt = s.now
 }
 
 // pollPeer asks a random node of the data centre for its version; without one,
