One trace from the caller to the last hop; make serve

Cause: a search's trace ended at the entry node, and claims and records were roots of their own, since the ledger's calls ran under the node's context. Ruled out: running them under the request's context: a caller that leaves must not cancel the record of an outcome. Only the span context is handed on. Change: claims and records carry the request's trace; stand-in searchers write spans of requests that belong to a trace; the callers' span is entry.request. scripts/demo.sh serve (make serve) keeps the system up for trying it by hand.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target works on a fresh machine with Go; model also needs spin.
 GO ?= go
 
-.PHONY: build test lint demo examples bench faults faults-doc model
+.PHONY: build test lint demo serve examples bench faults faults-doc model
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,6 +24,10 @@
 demo:
 	scripts/demo.sh
 
+# Starts the same system and serves until Ctrl-C.
+serve:
+	scripts/demo.sh serve
+
 # Writes the example settings and tickets anew from the sizes in the tool.
 examples:
 	$(GO) run ./internal/tools/examples
--- a/cmd/wigeon-searcher/app.go
+++ b/cmd/wigeon-searcher/app.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
 	"wigeonbay/internal/searcher"
 	"wigeonbay/internal/telemetry"
 
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
@@ -22,7 +24,7 @@
 	app := fx.New(
 		fx.Supply(l),
 		fx.Provide(newLogger),
-		fx.Invoke(register),
+		fx.Invoke(startTracing, register),
 		fx.StopTimeout(stopTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -39,11 +41,31 @@
 	return telemetry.NewLogger(process, l.settings.Node.ID)
 }
 
+// startTracing comes before the searchers in the lifecycle, so that it ends
+// after them.
+func startTracing(lifecycle fx.Lifecycle, l *loaded) error {
+	node := l.settings.Node
+	stop, err := telemetry.StartTracing(process, node.ID, node.DataCentre, l.settings.Telemetry.TraceFile)
+	if err != nil {
+		return err
+	}
+	lifecycle.Append(fx.Hook{OnStop: stop})
+	return nil
+}
+
+// traced gives each request that belongs to a trace a span.
+func traced(next http.Handler) http.Handler {
+	return otelhttp.NewHandler(next, "searcher.request",
+		otelhttp.WithFilter(func(r *http.Request) bool { return r.Header.Get("Traceparent") != "" }),
+		otelhttp.WithSpanNameFormatter(func(operation string, _ *http.Request) string { return operation }))
+}
+
 // register adds each searcher's start and stop to the process's lifecycle.
 func register(lifecycle fx.Lifecycle, l *loaded, logger *zap.Logger) error {
 	var all group
 	for _, cfg := range l.searchers {
 		cfg.Logger = logger
+		cfg.Wrap = traced
 		s, err := searcher.New(cfg)
 		if err != nil {
 			return err
--- a/internal/entry/driver/callers.go
+++ b/internal/entry/driver/callers.go
@@ -42,7 +42,8 @@
 	r.HandleFunc("/readyz", n.serveReady).Methods(http.MethodGet)
 	r.NotFoundHandler = refuseWith(http.StatusNotFound, "no such path")
 	r.MethodNotAllowedHandler = refuseWith(http.StatusMethodNotAllowed, "this path does not take this method")
-	return otelhttp.NewHandler(r, "entry.request")
+	byOperation := func(operation string, _ *http.Request) string { return operation }
+	return otelhttp.NewHandler(r, "entry.request", otelhttp.WithSpanNameFormatter(byOperation))
 }
 
 func refuseWith(status int, detail string) http.Handler {
--- a/internal/entry/driver/effects.go
+++ b/internal/entry/driver/effects.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/api"
@@ -148,18 +149,30 @@
 	}
 }
 
+// traced returns the node's context within the trace of the request that
+// waits for query, when one does.
+func (n *Node) traced(query entry.QueryID) context.Context {
+	w := n.waiters[query]
+	if w == nil {
+		return n.ctx
+	}
+	return trace.ContextWithSpanContext(n.ctx, trace.SpanContextFromContext(w.ctx))
+}
+
 func (n *Node) claimKey(e entry.ClaimKey) {
+	ctx := n.traced(e.Query)
 	go func() {
-		result, reply := n.ledger.claim(n.ctx, e)
+		result, reply := n.ledger.claim(ctx, e)
 		n.step(entry.ClaimDecided{Query: e.Query, Result: result, Verdict: reply.Verdict, Outcome: reply.Outcome})
 	}()
 }
 
 func (n *Node) recordOutcome(e entry.RecordOutcome) {
 	n.ledger.begin()
+	ctx := n.traced(e.Query)
 	go func() {
 		defer n.ledger.end()
-		err := n.ledger.record(n.ctx, e)
+		err := n.ledger.record(ctx, e)
 		if err != nil {
 			telemetry.EntryRecordFailed.Log(n.logger, zap.String("key", e.Key), zap.Error(err))
 		}
--- a/internal/tools/examples/files.go
+++ b/internal/tools/examples/files.go
@@ -120,6 +120,7 @@
 	}
 	fmt.Fprintf(&text, "%sannounce = %s\n\n", header, strings.Join(announce, ", "))
 	text.WriteString(u.node("searchers-"+dataCentre, dataCentre))
+	fmt.Fprintf(&text, "\n[telemetry]\ntrace_file = searchers-%s.trace\n", dataCentre)
 	for _, s := range u.searchers() {
 		if s.dataCentre == dataCentre {
 			s.write(&text, u.catalogue)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,8 @@
 # Runs the Chapecó example on loopback: one control process for each data
 # centre, two entry nodes in each, and stand-in searchers. It applies the
 # tickets, sends searches and submits, restarts an entry node in the middle and
-# ends with one JSON line. It needs Go and bash alone.
+# ends with one JSON line. It needs Go and bash alone. With the argument "serve"
+# it sends nothing and serves until Ctrl-C.
 #
 # Exit code: 0 when no answer mixed snapshots, no submit ran twice and nothing
 # was lost; else that of the step that failed.
@@ -111,6 +112,15 @@
 for ticket in "$example"/ticket-*.ini; do ctl apply -f "$ticket" --wait; done
 ctl get rule
 
+if [[ ${1:-} == serve ]]; then
+    say "serving; callers: $(listeners callers "$example"/entry-*.ini)"
+    echo "logs and traces are in $folder; Ctrl-C ends all processes"
+    while true; do
+        check_running
+        sleep 1
+    done
+fi
+
 say "searching and submitting for $duration s; ${entries[0]} is restarted in the middle"
 "$bin/wigeon-load" run \
     --entries "$(listeners callers "$example"/entry-*.ini)" \
