--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -66,7 +67,10 @@
 	}
 }
 
-// touched lists the objects that a ticket touches.
+// maxNamed bounds the objects that a line of history names.
+const maxNamed = 4
+
+// touched lists the objects that a ticket touches, the first of them by name.
 func touched(ticket api.Ticket) string {
 	var list []string
 	for _, service := range ticket.Services {
@@ -81,5 +85,8 @@
 	for _, ref := range ticket.Removals {
 		list = append(list, "no "+string(ref.Kind)+" "+ref.Name)
 	}
+	if len(list) > maxNamed {
+		return fmt.Sprintf("%s and %d more", names(list[:maxNamed]), len(list)-maxNamed)
+	}
 	return names(list)
 }
