Entry node: ready only when its services can be searched, within a bound

Cause: a restarted node said that it was ready with its configuration alone, before it had learned of targets, and refused what its neighbours could answer. Ruled out: waiting for targets without a bound (a service may have none), and going back to not ready later (a service without targets is no better off elsewhere).

--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -54,6 +54,7 @@
 	cancels map[entry.AttemptID]context.CancelFunc
 
 	lastQuery  atomic.Uint64
+	readiness  readiness // under mu
 	draining   atomic.Bool
 	installed  atomic.Bool
 	background sync.WaitGroup
@@ -152,10 +153,20 @@
 	if n.draining.Load() {
 		return false
 	}
+	held, version := n.configured()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held = held && n.state.ConfigVersion() >= version
+	return n.readiness.observe(time.Now(), held, n.state.Unserved())
+}
+
+// configured reports whether the node has the configuration it needs, and its
+// version. The reducer may be a step behind.
+func (n *Node) configured() (held bool, version uint64) {
 	if n.peers.follows() {
-		return n.peers.ready()
+		return n.peers.ready(), n.peers.config.Version()
 	}
-	return n.installed.Load()
+	return n.installed.Load(), 0
 }
 
 func (n *Node) listen(ctx context.Context) error {
--- /dev/null
+++ b/internal/entry/served_test.go
@@ -0,0 +1,18 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+)
+
+func TestUnservedCountsServicesWithoutAWholeSnapshot(t *testing.T) {
+	h := newHarness(t, api.Service{DeadlineMS: 1000})
+	assert.Equal(t, h.state.Unserved(), 1)
+	h.announceShards("s1", api.TargetReady, []api.ShardID{0}, api.Snapshot{Layout: 1, Version: 1})
+	assert.Equal(t, h.state.Unserved(), 1, "one shard of several")
+	h.announce("s2", api.TargetReady, api.Snapshot{Layout: 1, Version: 1})
+	assert.Equal(t, h.state.Unserved(), 0)
+}
