Entry node: 503 not_ready before its configuration, connections closed in a drain

Cause: of 6 runs of make demo one failed: a search on a kept-alive connection got EOF when the restarted node closed its idle connections, and one search got 404 unknown_service from the node before it had its configuration. Ruled out: closing idle connections when the drain begins (the same race, moved forward), and a pause after the last reply. Change: while the node drains each reply asks the caller to close the connection, so that none is idle when the node stops; before its first configuration it refuses as not_ready, which a balancer takes elsewhere, for 404 would be untrue. Two tests came first and failed: 404 for 503, and a connection kept open.

--- a/internal/entry/driver/callers.go
+++ b/internal/entry/driver/callers.go
@@ -43,7 +43,7 @@
 	r.NotFoundHandler = refuseWith(http.StatusNotFound, "no such path")
 	r.MethodNotAllowedHandler = refuseWith(http.StatusMethodNotAllowed, "this path does not take this method")
 	byOperation := func(operation string, _ *http.Request) string { return operation }
-	return otelhttp.NewHandler(r, "entry.request", otelhttp.WithSpanNameFormatter(byOperation))
+	return otelhttp.NewHandler(n.closeWhenDraining(r), "entry.request", otelhttp.WithSpanNameFormatter(byOperation))
 }
 
 func refuseWith(status int, detail string) http.Handler {
@@ -174,7 +174,7 @@
 	if problem := n.readBody(w, r, body); problem != nil {
 		return time.Time{}, problem
 	}
-	return arrived.Add(timeout), nil
+	return arrived.Add(timeout), n.refuseUninformed()
 }
 
 func (n *Node) timeoutOf(r *http.Request) (time.Duration, *api.Problem) {
--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -55,6 +55,7 @@
 
 	lastQuery  atomic.Uint64
 	readiness  readiness // under mu
+	informed   atomic.Bool
 	draining   atomic.Bool
 	installed  atomic.Bool
 	background sync.WaitGroup
@@ -148,27 +149,6 @@
 	return n.state.Counters()
 }
 
-// ready reports whether the balancer may send requests.
-func (n *Node) ready() bool {
-	if n.draining.Load() {
-		return false
-	}
-	held, version := n.configured()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	held = held && n.state.ConfigVersion() >= version
-	return n.readiness.observe(time.Now(), held, n.state.Unserved())
-}
-
-// configured reports whether the node has the configuration it needs, and its
-// version. The reducer may be a step behind.
-func (n *Node) configured() (held bool, version uint64) {
-	if n.peers.follows() {
-		return n.peers.ready(), n.peers.config.Version()
-	}
-	return n.installed.Load(), 0
-}
-
 func (n *Node) listen(ctx context.Context) error {
 	callers, err := listenOn(ctx, n.settings.Listen.Callers)
 	if err != nil {
--- a/internal/entry/driver/node_test.go
+++ b/internal/entry/driver/node_test.go
@@ -48,7 +48,8 @@
 	return f
 }
 
-func startNode(t *testing.T) *Node {
+// startBareNode starts a node without a configuration.
+func startBareNode(t *testing.T) *Node {
 	config := settings.DefaultEntry()
 	config.Node = settings.Node{ID: "e1", DataCentre: "oeste"}
 	config.Listen = settings.EntryListen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
@@ -57,6 +58,11 @@
 	n, err := New(config, zap.NewNop())
 	assert.NilError(t, err)
 	assert.NilError(t, n.Start(t.Context()))
+	return n
+}
+
+func startNode(t *testing.T) *Node {
+	n := startBareNode(t)
 	n.InstallConfig(api.Configuration{Version: 1, Services: map[string]api.Service{
 		"lots": {Name: "lots", Prefer: api.PreferDeadline, DeadlineMS: 5000},
 	}})
--- a/internal/entry/driver/readiness_test.go
+++ b/internal/entry/driver/readiness_test.go
@@ -1,10 +1,16 @@
 package driver
 
 import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
 )
 
 func TestReadinessWaitsForTargetsForABoundedTime(t *testing.T) {
@@ -37,3 +43,38 @@
 		})
 	}
 }
+
+// TestNodeWithoutAConfigurationRefusesAsNotReady asks a node that has just
+// started: it can't tell an unknown service from one that it hasn't heard of.
+func TestNodeWithoutAConfigurationRefusesAsNotReady(t *testing.T) {
+	n := startBareNode(t)
+	defer func() { assert.NilError(t, n.Stop(context.Background())) }()
+	key := map[string]string{api.HeaderIdempotencyKey: "1-a"}
+	for path, body := range map[string]string{
+		"/v1/services/lots/search": `{"query":"x"}`,
+		"/v1/services/lots/submit": `{"kind":"c","subject":"s"}`,
+	} {
+		status, answer, header := post(t, n, path, body, key)
+		var p api.Problem
+		assert.NilError(t, json.Unmarshal(answer, &p))
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, p.Code, api.CodeNotReady)
+		assert.Equal(t, p.Ran, api.RanNo)
+		assert.Check(t, header.Get("Retry-After") != "")
+	}
+}
+
+// TestDrainingNodeAsksCallersToCloseTheirConnections has a caller keep its
+// connection while the node drains: one left open could carry a request at the
+// moment at which the node closes it.
+func TestDrainingNodeAsksCallersToCloseTheirConnections(t *testing.T) {
+	n := startNode(t)
+	for _, draining := range []bool{false, true} {
+		n.draining.Store(draining)
+		res, err := http.Post("http://"+n.CallersAddress()+"/v1/services/none/search", "application/json", strings.NewReader(`{}`))
+		assert.NilError(t, err)
+		assert.Equal(t, res.Close, draining)
+		assert.NilError(t, res.Body.Close())
+	}
+	assert.NilError(t, n.Stop(context.Background()))
+}
