--- a/internal/wire/cut.go
+++ b/internal/wire/cut.go
@@ -57,12 +57,12 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &cutConn{Conn: conn, done: make(chan struct{})}
+		c := &cutConn{Conn: conn, address: address, cut: cut, done: make(chan struct{})}
 		// A connection is old only for a cut that began after it.
 		if cut(address) == CutSilentOld {
-			cut = ignoreFirst(cut)
+			c.cut = ignoreFirst(cut)
 		}
-		go c.watch(address, cut)
+		go c.watch()
 		return c, nil
 	}
 }
@@ -103,12 +103,15 @@
 // cutConn is a connection that can be made silent for good.
 type cutConn struct {
 	net.Conn
-	silent atomic.Bool
-	closed atomic.Bool
-	done   chan struct{}
+	address string
+	cut     CutFunc
+	silent  atomic.Bool
+	closed  atomic.Bool
+	done    chan struct{}
 }
 
-func (c *cutConn) watch(address string, cut CutFunc) {
+// watch breaks off the connection also while nobody writes to it.
+func (c *cutConn) watch() {
 	ticker := time.NewTicker(cutPoll)
 	defer ticker.Stop()
 	for {
@@ -116,13 +119,17 @@
 		case <-c.done:
 			return
 		case <-ticker.C:
+			c.follow()
 		}
-		switch cut(address) {
-		case CutRefuse:
-			_ = c.Close()
-		case CutSilent, CutSilentOld:
-			c.silent.Store(true)
-		}
+	}
+}
+
+func (c *cutConn) follow() {
+	switch c.cut(c.address) {
+	case CutRefuse:
+		_ = c.Close()
+	case CutSilent, CutSilentOld:
+		c.silent.Store(true)
 	}
 }
 
@@ -146,6 +153,7 @@
 
 // Write implements net.Conn. What is written to a silent connection is lost.
 func (c *cutConn) Write(p []byte) (int, error) {
+	c.follow()
 	if c.silent.Load() {
 		return len(p), nil
 	}
