--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -54,6 +54,8 @@
 	cancels map[entry.AttemptID]context.CancelFunc
 
 	lastQuery  atomic.Uint64
+	readiness  readiness // under mu
+	informed   atomic.Bool
 	draining   atomic.Bool
 	installed  atomic.Bool
 	background sync.WaitGroup
@@ -147,17 +149,6 @@
 	return n.state.Counters()
 }
 
-// ready reports whether the balancer may send requests.
-func (n *Node) ready() bool {
-	if n.draining.Load() {
-		return false
-	}
-	if n.peers.follows() {
-		return n.peers.ready()
-	}
-	return n.installed.Load()
-}
-
 func (n *Node) listen(ctx context.Context) error {
 	callers, err := listenOn(ctx, n.settings.Listen.Callers)
 	if err != nil {
