--- a/internal/entry/route/index.go
+++ b/internal/entry/route/index.go
@@ -27,6 +27,9 @@
 	reachable int
 	// warm is the number of shards with a reachable replica that is warm.
 	warm int
+	// slots is the number of warm and reachable slots of the shard that has
+	// the fewest.
+	slots int
 }
 
 // Whole reports whether each shard has a reachable replica.
@@ -76,11 +79,20 @@
 }
 
 // Pin returns the placement for a new search: the newest snapshot that is
-// whole and warm, else the newest whole one, else the one with the greatest
-// coverage and the newer of equals; nil when no target accepts work.
+// whole and warm and can carry the load, else the newest whole one, else the
+// one with the greatest coverage and the newer of equals; nil when no target
+// accepts work. A snapshot can carry the load when it has more than half of the
+// slots of the one that has most: the first replicas that take up a version
+// would otherwise get the load of all.
 func (x *Index) Pin() *Placement {
+	most := 0
 	for _, p := range x.placements {
 		if p.Warm() {
+			most = max(most, p.slots)
+		}
+	}
+	for _, p := range x.placements {
+		if p.Warm() && 2*p.slots > most {
 			return p
 		}
 	}
@@ -128,6 +140,7 @@
 	replicas  [][]*Target
 	reachable []bool
 	warm      []bool
+	slots     []int
 }
 
 func newPlacementBuilder(h api.Holding) *placementBuilder {
@@ -136,6 +149,7 @@
 		replicas:  make([][]*Target, h.LayoutShards),
 		reachable: make([]bool, h.LayoutShards),
 		warm:      make([]bool, h.LayoutShards),
+		slots:     make([]int, h.LayoutShards),
 	}
 }
 
@@ -148,6 +162,7 @@
 		if t.Reachable() {
 			b.reachable[shard] = true
 			b.warm[shard] = b.warm[shard] || h.Warm
+			b.slots[shard] += warmSlots(t, h)
 		}
 	}
 }
@@ -156,7 +171,7 @@
 // divided into as many groups as these have slots, so that they can run at the
 // same time; more groups would only wait for each other.
 func (b *placementBuilder) build() *Placement {
-	p := &Placement{Snapshot: b.snapshot, Shards: len(b.replicas)}
+	p := &Placement{Snapshot: b.snapshot, Shards: len(b.replicas), slots: slices.Min(b.slots)}
 	seen := map[string]int{}
 	groups := map[groupKey]int{}
 	for i, replicas := range b.replicas {
@@ -195,6 +210,13 @@
 	part     int
 }
 
+func warmSlots(t *Target, h api.Holding) int {
+	if !h.Warm {
+		return 0
+	}
+	return t.Slots
+}
+
 func slotsOf(replicas []*Target) int {
 	slots := 0
 	for _, t := range replicas {
