Wait for a full sound replica instead of asking an ejected one

Cause: ejected replicas were chosen as soon as the sound ones were at their limits. With a replica 20 times slower that is the worst choice: a place at a sound one gets free in a fraction of that time. Ruled out: weighing the wait against the slow replica's time (the choice has no good estimate of the wait per replica yet). Change: an ejected or suspect replica is asked only when no sound one accepts work; otherwise the search waits.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -56,7 +56,7 @@
 		choice := s.choice(q, g)
 		i := route.Choose(group, choice)
 		if i < 0 {
-			if !canWait(group, choice) {
+			if !route.CanWait(group, choice) {
 				stuck = append(stuck, g)
 			}
 			continue
@@ -119,17 +119,6 @@
 	}
 }
 
-// canWait reports whether some replica is only full, so that the group can be
-// asked later.
-func canWait(group *route.Group, c route.Choice) bool {
-	for i, t := range group.Replicas {
-		if c.Exclude(i, t) == route.ExcludedFull {
-			return true
-		}
-	}
-	return false
-}
-
 // send sends one request. Extra requests are hedges, retries and trials.
 func (s *State) send(q *search, r sending, extra bool) *attempt {
 	shards := q.shardsOf(r.groups)
--- a/internal/entry/route/choose.go
+++ b/internal/entry/route/choose.go
@@ -26,9 +26,9 @@
 	ExcludedState    Exclusion = "does not accept work"
 	ExcludedTried    Exclusion = "already tried by this search"
 	ExcludedSnapshot Exclusion = "does not hold the snapshot"
-	ExcludedFull     Exclusion = "at its concurrency limit"
 	ExcludedSuspect  Exclusion = "unreachable"
 	ExcludedEjected  Exclusion = "set aside as an outlier"
+	ExcludedFull     Exclusion = "at its concurrency limit"
 )
 
 // Policy names a way to choose among replicas.
@@ -68,25 +68,46 @@
 }
 
 // Choose returns the position of the best replica in g, or -1 when none can
-// take a request now. Suspect and ejected replicas are the last resort.
+// take a request now. Suspect and ejected replicas are the last resort: they
+// get requests only when there is no sound replica, not when the sound ones are
+// full, since waiting for those is shorter.
 func Choose(g *Group, c Choice) int {
 	if c.Policy == PolicyBaseline {
 		return chooseNext(g, c)
 	}
-	best, bestScore, bestRank := -1, 0.0, 0
+	best, bestScore, bestRank := -1, 0.0, unfit
+	soundFull := false
 	for i, t := range g.Replicas {
-		rank, ok := c.rank(i, t)
-		if !ok {
+		rank := c.rank(i, t)
+		if rank != unfit && !c.hasRoom(t) {
+			soundFull = soundFull || rank == sound
+			continue
+		}
+		if rank > bestRank || rank == unfit {
 			continue
 		}
 		score := c.Score(t)
-		if best < 0 || rank < bestRank || rank == bestRank && score < bestScore {
+		if rank < bestRank || score < bestScore {
 			best, bestScore, bestRank = i, score, rank
 		}
 	}
+	if soundFull && bestRank != sound {
+		return -1
+	}
 	return best
 }
 
+// CanWait reports whether some replica may take a request later, though none
+// can now.
+func CanWait(g *Group, c Choice) bool {
+	for i, t := range g.Replicas {
+		if c.rank(i, t) != unfit {
+			return true
+		}
+	}
+	return false
+}
+
 // Exclude returns why the replica at position i can't be chosen, or why it is
 // only the last resort.
 func (c Choice) Exclude(i int, t *Target) Exclusion {
@@ -97,12 +118,12 @@
 		return ExcludedTried
 	case !t.Holds(c.Snapshot):
 		return ExcludedSnapshot
-	case !t.HasRoom() && t.plannedBy(c.Search) == 0:
-		return ExcludedFull
 	case t.suspect:
 		return ExcludedSuspect
 	case t.ejected:
 		return ExcludedEjected
+	case !c.hasRoom(t):
+		return ExcludedFull
 	default:
 		return ExcludedNone
 	}
@@ -133,19 +154,33 @@
 	return score * (1 + fill)
 }
 
-func (c Choice) rank(i int, t *Target) (int, bool) {
+// Ranks of replicas, best first.
+const (
+	sound = iota
+	outlier
+	unreachable
+	unfit
+)
+
+func (c Choice) rank(i int, t *Target) int {
 	switch c.Exclude(i, t) {
-	case ExcludedNone:
-		return 0, true
+	case ExcludedNone, ExcludedFull:
+		return sound
 	case ExcludedEjected:
-		return 1, true
+		return outlier
 	case ExcludedSuspect:
-		return 2, true
+		return unreachable
 	default:
-		return 0, false
+		return unfit
 	}
 }
 
+// hasRoom reports whether the search may ask more of t now, in a request of its
+// own or in one that it plans.
+func (c Choice) hasRoom(t *Target) bool {
+	return t.HasRoom() || t.plannedBy(c.Search) > 0
+}
+
 func chooseNext(g *Group, c Choice) int {
 	for n := range g.Replicas {
 		i := (c.RoundRobin + n) % len(g.Replicas)
--- a/internal/entry/route/choose_test.go
+++ b/internal/entry/route/choose_test.go
@@ -81,6 +81,12 @@
 			}
 		}, "b"},
 		{"ejected one as the last resort", func(a, b *Target) { a.ejected = true; b.Drained = true }, "a"},
+		{"waits for a full one instead of an ejected one", func(a, b *Target) {
+			a.ejected = true
+			for i := range 3 {
+				b.Sent(uint64(10+i), now, 1)
+			}
+		}, ""},
 		{"suspect one after an ejected one", func(a, b *Target) { a.suspect = true; b.ejected = true }, "b"},
 		{"none", func(a, b *Target) { a.Drained = true; b.Drained = true }, ""},
 	}
