A target's report of its load counts only with slow replies

Cause: a searcher that wrongly reports to be busy had its concurrency cut on each reply, which left the load to the slow ones (lying-load). Ruled out: ignoring the report (it shows a queue that other entry nodes cause before a shed does).

--- a/internal/entry/route/target.go
+++ b/internal/entry/route/target.go
@@ -22,6 +22,12 @@
 	// overtakesToExcuse is the number of later requests that must overtake a
 	// request before its connection, and not the target, is held to be silent.
 	overtakesToExcuse = 2
+	// queueFactor times a target's quick reply time is the time from which a
+	// reply shows that it may have waited in the target's queue.
+	queueFactor = 2
+	// quickWeight is the weight of a slower reply in the quick reply time; a
+	// quicker one replaces it at once.
+	quickWeight = 0.01
 	// stuckFactor times a target's latency is the age from which a request may
 	// count as stuck.
 	stuckFactor = 4
@@ -43,7 +49,9 @@
 	InFlight int
 
 	// latency is the moving average of the time per shard.
-	latency     time.Duration
+	latency time.Duration
+	// quick is the time per shard of the target's quick replies.
+	quick       time.Duration
 	failures    int
 	suspect     bool
 	ejected     bool
@@ -141,9 +149,11 @@
 	}
 	t.failures = 0
 	t.suspect = false
-	t.observe(done.perShard(now))
+	took := done.perShard(now)
+	t.observe(took)
 	t.overtake(done.started)
-	if reported > t.Slots {
+	slow := t.slowForItself(took)
+	if reported > t.Slots && slow {
 		t.Limit.Queued(now)
 		return
 	}
@@ -233,6 +243,18 @@
 	}
 }
 
+// slowForItself reports whether a reply took longer than the target's quick
+// ones. What a target reports of its load counts only together with this: a
+// report alone can mislead.
+func (t *Target) slowForItself(took time.Duration) bool {
+	if t.quick == 0 || took < t.quick {
+		t.quick = took
+	} else {
+		t.quick += time.Duration(quickWeight * float64(took-t.quick))
+	}
+	return took > queueFactor*t.quick
+}
+
 func (t *Target) observe(latency time.Duration) {
 	if t.latency == 0 {
 		t.latency = latency
