wire: one writer for each connection in place of a goroutine for each call

Ruled out: writing in the caller's goroutine (it can't be given up while the peer doesn't read), and a buffered queue (a queued call would have to be taken back to be "not sent"). Change: calls are handed to the writer without a buffer. One that was not handed over by the end of its context, or before the connection died, is ErrNotSent; the atomic decision stays for one that was. The blocked write is now tested in virtual time; a test for a call on a dead connection is new.

--- a/internal/wire/clientcodec.go
+++ b/internal/wire/clientcodec.go
@@ -6,37 +6,33 @@
 	"sync/atomic"
 )
 
-// errAbandoned ends a call that was given up before it was written.
+// errAbandoned ends a call whose connection has died before it was sent.
 var errAbandoned = errors.New("call was given up before it was sent")
 
-// request is a call's arguments on their way to the connection. Its state
-// decides, once, whether they are written or given up: a call that was given
-// up must never be written later, since its caller has been told that it was
-// not sent.
+// request is a call on its way to the connection's writer.
 type request struct {
-	args  any
-	state atomic.Int32
+	method string
+	args   any
+	reply  any
+	done   chan *rpc.Call
+	// fate decides, once, whether the request is sent or given up: one that was
+	// given up must never be sent later, since its caller has been told so.
+	fate atomic.Int32
 }
 
-// States of a request.
+// Fates of a request; 0 is undecided.
 const (
-	requestWaiting int32 = iota
-	requestWritten
+	requestSent int32 = iota + 1
 	requestAbandoned
 )
 
-// abandon gives the request up. It reports false when writing has begun.
-func (r *request) abandon() bool {
-	return r.state.CompareAndSwap(requestWaiting, requestAbandoned) || r.state.Load() == requestAbandoned
-}
-
-func (r *request) beginWrite() bool {
-	return r.state.CompareAndSwap(requestWaiting, requestWritten)
+func (r *request) send() bool {
+	return r.fate.CompareAndSwap(0, requestSent)
 }
 
-// unwrite takes beginWrite back when not a byte has left.
-func (r *request) unwrite() {
-	r.state.Store(requestAbandoned)
+// abandon reports whether not a byte of the request has left or will leave.
+func (r *request) abandon() bool {
+	return r.fate.CompareAndSwap(0, requestAbandoned) || r.fate.Load() == requestAbandoned
 }
 
 // clientCodec implements rpc.ClientCodec on a stream.
@@ -50,15 +46,15 @@
 // WriteRequest implements rpc.ClientCodec; body is a *request.
 func (c *clientCodec) WriteRequest(header *rpc.Request, body any) error {
 	request := body.(*request)
-	if !request.beginWrite() {
-		return errAbandoned
-	}
-	if err := c.encode(header, request.args); err != nil {
-		request.unwrite()
-		c.failed(err)
-		return err
+	err := c.encode(header, request.args)
+	switch {
+	case err != nil:
+		request.abandon()
+	case !request.send():
+		err = errAbandoned
+	default:
+		err = c.flush()
 	}
-	err := c.flush()
 	if err != nil {
 		c.failed(err)
 	}
--- a/internal/wire/connection.go
+++ b/internal/wire/connection.go
@@ -28,6 +28,9 @@
 	lastUsed atomic.Int64
 	inFlight atomic.Int64
 
+	// sends hands requests to the writer, without a buffer.
+	sends chan *request
+
 	retired  chan struct{}
 	retiring sync.Once
 	closed   chan struct{}
@@ -40,6 +43,7 @@
 		address: address,
 		raw:     raw,
 		client:  client,
+		sends:   make(chan *request),
 		retired: make(chan struct{}),
 		closed:  make(chan struct{}),
 	}
@@ -48,6 +52,7 @@
 	c.lastUsed.Store(now)
 	codec := &clientCodec{stream: newStream(&heardConn{raw, c}, MaxMessageBytes), failed: c.close}
 	c.rpc = rpc.NewClientWithCodec(codec)
+	go c.write()
 	return c
 }
 
@@ -72,30 +77,47 @@
 // call makes one call. The peer may have got it unless the error wraps
 // ErrNotSent.
 func (c *connection) call(ctx context.Context, method string, args, reply any) error {
-	sent := &request{args: args}
-	received := newLike(reply)
-	done := make(chan *rpc.Call, 1)
-	// Go writes before it returns, which can block on a silent connection.
-	go c.rpc.Go(method, sent, received, done)
+	request := &request{method: method, args: args, reply: newLike(reply), done: make(chan *rpc.Call, 1)}
+	select {
+	case c.sends <- request:
+	case <-c.closed:
+		return fmt.Errorf("%w: %w", ErrNotSent, c.cause)
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
 	select {
-	case call := <-done:
-		if call.Error == nil {
-			copyTo(reply, received)
-			return nil
+	case call := <-request.done:
+		if call.Error != nil {
+			return c.explain(request, call.Error)
 		}
-		return c.explain(sent, call.Error)
+		copyTo(reply, request.reply)
+		return nil
 	case <-ctx.Done():
-		return c.explain(sent, ctx.Err())
+		return ctx.Err()
+	}
+}
+
+// write sends requests one by one. A request that the writer has not taken has
+// certainly not been sent: the writer may be blocked by a peer that doesn't
+// read.
+func (c *connection) write() {
+	for {
+		select {
+		case request := <-c.sends:
+			c.rpc.Go(request.method, request, request.reply, request.done)
+		case <-c.closed:
+			return
+		}
 	}
 }
 
 // explain adds to the error of a call what is known of its fate.
-func (c *connection) explain(sent *request, err error) error {
+func (c *connection) explain(request *request, err error) error {
 	if isRemote(err) {
 		return err
 	}
-	if sent.abandon() {
-		err = fmt.Errorf("%w: %w", ErrNotSent, err)
+	if request.abandon() {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	select {
 	case <-c.closed:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -163,23 +163,41 @@
 // TestCallGivenUpBehindABlockedWriteIsNeverSent blocks the connection's writer
 // by a peer that stops reading in the middle of a message.
 func TestCallGivenUpBehindABlockedWriteIsNeverSent(t *testing.T) {
-	near, far := net.Pipe()
-	defer func() { _ = far.Close() }()
-	client := NewClient(func(context.Context, string) (net.Conn, error) { return near, nil })
-	defer client.Close()
-	ctx, cancel := context.WithCancel(t.Context())
-	first := make(chan error, 1)
-	go func() { first <- client.Call(ctx, "peer", "Echo.Say", &Args{}, &Reply{}) }()
-	_, err := far.Read(make([]byte, 1))
-	assert.NilError(t, err)
-	second, cancelSecond := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancelSecond()
-	err = client.Call(second, "peer", "Echo.Say", &Args{}, &Reply{})
-	assert.Check(t, errors.Is(err, ErrNotSent), "%v", err)
-	cancel()
-	err = <-first
-	assert.Check(t, errors.Is(err, context.Canceled), "%v", err)
-	assert.Check(t, !errors.Is(err, ErrNotSent), "a part of it has left")
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		client := NewClient(func(context.Context, string) (net.Conn, error) { return near, nil })
+		defer client.Close()
+		call := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			return client.Call(ctx, "peer", "Echo.Say", &Args{}, &Reply{})
+		}
+		first := make(chan error, 1)
+		go func() { first <- call(400 * time.Millisecond) }()
+		_, err := far.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		err = call(100 * time.Millisecond)
+		assert.Check(t, errors.Is(err, ErrNotSent), "%v", err)
+		assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		err = <-first
+		assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		assert.Check(t, !errors.Is(err, ErrNotSent), "a part of it has left")
+	})
+}
+
+// TestCallOnADeadConnectionWasNotSent breaks the connection off before the
+// writer has the call.
+func TestCallOnADeadConnectionWasNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		assert.NilError(t, n.say(t, 0, time.Second))
+		conn := n.client.peers["peer"]
+		conn.close(errSilent)
+		err := conn.call(t.Context(), "Echo.Say", &Args{}, &Reply{})
+		assert.Check(t, errors.Is(err, ErrNotSent), "%v", err)
+		assert.Equal(t, n.echo.calls.Load(), int64(1))
+	})
 }
 
 func TestOversizedMessageIsRefusedAndTheServerGoesOn(t *testing.T) {
