--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -40,6 +40,8 @@
 	rumours map[recordKey]*rumour
 	fresh   []*rumour
 	pushes  map[uint64]pushed
+	// waiting are the announcements that no other node has acknowledged yet.
+	waiting []waitingAnnouncement
 	// muted keeps records from becoming news while a bulk is taken in.
 	muted bool
 	// listed holds the alive and suspected members of each data centre, this
@@ -66,7 +68,8 @@
 	isolated bool
 	// quietUntil is when a node that was frozen may accuse again.
 	quietUntil time.Time
-	lastTick   time.Time
+	// lastTick is when the last tick came; zero before the first.
+	lastTick time.Time
 }
 
 // schedule holds when each periodic job is next due.
@@ -100,8 +103,6 @@
 	cfg.Self.State = MemberAlive
 	s.putMember(cfg.Self)
 	s.heardAt = now
-	s.lastTick = now
-	s.stagger(now)
 	return s
 }
 
@@ -133,13 +134,14 @@
 	case Received:
 		s.receive(e.Message)
 	case Announced:
-		s.announced(e.Announcement)
+		s.announced(e)
 	case Reported:
 		s.reported(e)
 	case LeaveAsked:
 		s.leave()
 	}
 	s.pushFresh()
+	s.answerAnnouncements()
 	if s.membersDirty {
 		s.membersDirty = false
 		s.emit(MembersChanged{})
@@ -148,6 +150,10 @@
 }
 
 func (s *State) tick() {
+	if s.lastTick.IsZero() {
+		s.heardAt = s.now
+		s.stagger(s.now)
+	}
 	s.lastTick = s.now
 	s.noticeIsolation()
 	s.stepProbes()
@@ -206,16 +212,16 @@
 
 // Members returns the listed members, this node included, sorted by id.
 func (s *State) Members() []api.EntryMember {
-	var list []api.EntryMember
-	for _, m := range s.members {
-		if !m.Listed() {
-			continue
-		}
-		state := m.State.String()
-		if s.Unreachable(m.DataCentre) {
-			state = StateUnreachable
+	list := make([]api.EntryMember, 0, len(s.members))
+	for dc, members := range s.listed {
+		unreachable := s.Unreachable(dc)
+		for _, m := range members {
+			state := m.State.String()
+			if unreachable {
+				state = StateUnreachable
+			}
+			list = append(list, m.entry(state))
 		}
-		list = append(list, m.entry(state))
 	}
 	slices.SortFunc(list, func(a, b api.EntryMember) int { return strings.Compare(a.ID, b.ID) })
 	return list
