Entry counters in /debug/vars, failures as JSON, one trace in the demo

Ruled out: a second copy of the entry's counters with JSON names: it would have to follow each change; the names are the structure's for now. Change: groups entry and membership; {"error":...,"exit_code":...} when a command has no other result; the demo prints the spans of one search.

--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"go.uber.org/fx"
@@ -71,4 +72,11 @@
 
 func register(lifecycle fx.Lifecycle, node *driver.Node) {
 	lifecycle.Append(fx.Hook{OnStart: node.Start, OnStop: node.Stop})
+	lifecycle.Append(fx.StartHook(func() { publish(node) }))
+}
+
+// publish adds the started node's counters to /debug/vars.
+func publish(node *driver.Node) {
+	expvar.Publish("entry", expvar.Func(func() any { return node.Counters() }))
+	expvar.Publish("membership", expvar.Func(func() any { return node.PeerCounters() }))
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -258,6 +258,13 @@
 	}
 }
 
+func TestFailureIsJSONToo(t *testing.T) {
+	b := newBench(t)
+	code, out, _ := b.run("get", "rule", "none", "--output", "json")
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Equal(t, out, `{"error":"there is no rule \"none\"","exit_code":1}`+"\n")
+}
+
 func TestUsageMistakesExit2(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "bad.ini")
 	assert.NilError(t, os.WriteFile(path, []byte("[ticket]\nnumber = x\n"), 0o600))
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -38,7 +38,7 @@
 		defer s.close()
 		ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
 		defer cancel()
-		return action(ctx, s)
+		return s.out.fail(action(ctx, s))
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,6 +84,16 @@
     { grep -oh '^{"Name":"[^"]*"' $traces || true; } | cut -d'"' -f4 | sort | uniq -c | sort -rn
 }
 
+# show_trace prints the spans of one search with the process that wrote each.
+show_trace() {
+    local line id
+    line=$(grep -h '^{"Name":"entry.shard_request"' "$folder"/entry-*.trace | tail -n 1)
+    id=$(sed -n 's/.*"SpanContext":{"TraceID":"\([0-9a-f]*\)".*/\1/p' <<<"$line")
+    [[ -n $id ]] || { echo "none"; return; }
+    grep "\"SpanContext\":{\"TraceID\":\"$id\"" "$folder"/*.trace |
+        sed -n 's|.*/\([^/]*\)\.trace:{"Name":"\([^"]*\)".*|\2 in \1|p' | sort
+}
+
 listeners() { sed -n "s/^$1 = //p" "${@:2}" | paste -sd, -; }
 
 cd "$root"
@@ -156,6 +166,8 @@
 ctl explain "${services[1]%=*}" | sed -n 1,12p
 say "spans by hop"
 count_spans
+say "the spans of one search"
+show_trace
 say "results"
 cat "$folder/load.out"
 exit "$code"
