--- a/internal/entry/served_test.go
+++ b/internal/entry/served_test.go
@@ -13,6 +13,6 @@
 	assert.Equal(t, h.state.Unserved(), 1)
 	h.announceShards("s1", api.TargetReady, []api.ShardID{0}, api.Snapshot{Layout: 1, Version: 1})
 	assert.Equal(t, h.state.Unserved(), 1, "one shard of several")
-	h.announce("s2", api.TargetReady, api.Snapshot{Layout: 1, Version: 1})
+	h.announceShards("s2", api.TargetReady, []api.ShardID{1}, api.Snapshot{Layout: 1, Version: 1})
 	assert.Equal(t, h.state.Unserved(), 0)
 }
