--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -11,9 +11,11 @@
 )
 
 // Main runs the command with the process's arguments and ends the process.
-// SIGINT and SIGTERM end the context that actions get.
+// SIGINT and SIGTERM end the context that actions get; a second one ends the
+// process at once, so that a shutdown that hangs can be cut short.
 func Main(command *urfave.Command) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
 	code := Run(ctx, command, os.Args)
 	stop()
 	os.Exit(code)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -9,6 +9,9 @@
 	"testing"
 
 	"go.opentelemetry.io/otel"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 )
 
@@ -44,3 +47,13 @@
 	_, err = StartTracing("p", "e1", "oeste", filepath.Join(t.TempDir(), "none", "x"))
 	assert.ErrorContains(t, err, "open trace file: ")
 }
+
+func TestLogSettingsNamesWhatOperatorsMustNotOverlook(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	LogSettings(zap.New(core), false, "")
+	assert.Equal(t, logs.Len(), 0)
+	LogSettings(zap.New(core), true, "cuts")
+	assert.Equal(t, logs.Len(), 2)
+	assert.Equal(t, logs.All()[0].ContextMap()["event"], int64(InsecureListener.Number))
+	assert.Equal(t, logs.All()[1].ContextMap()["file"], "cuts")
+}
