--- a/internal/control/driver/fault_test.go
+++ b/internal/control/driver/fault_test.go
@@ -1,8 +1,10 @@
 package driver
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	"wigeonbay/internal/api"
 	"wigeonbay/internal/control/wal"
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
 )
 
 func (g *group) claim(id, key string, claim uint64) controlrpc.ClaimReply {
@@ -257,3 +260,28 @@
 		g.untilCurrent(id, 1)
 	}
 }
+
+// TestSilentConnectionsAreReplaced has every connection between the replicas go
+// silent for good at once, while new ones work.
+//
+// fault: silent-connection x ticket
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	var cut atomic.Value
+	cut.Store(wire.CutNone)
+	for _, peer := range g.members {
+		dial := func(ctx context.Context, address string) (net.Conn, error) {
+			cutNow := func(string) wire.Cut { return cut.Load().(wire.Cut) }
+			return wire.CutDialer(g.network.dialer(peer.Address), cutNow)(ctx, address)
+		}
+		g.start(peer, Options{Dial: dial}, false)
+	}
+	g.mustApply("a", 1)
+	cut.Store(wire.CutSilentOld)
+	for i, id := range []string{"a", "b", "c"} {
+		g.mustApply(id, uint64(2+i))
+	}
+	for _, peer := range g.members {
+		g.untilCurrent(peer.ID, 4)
+	}
+}
--- a/internal/control/replica/sim_test.go
+++ b/internal/control/replica/sim_test.go
@@ -14,12 +14,14 @@
 	choose func(label string, n int) int
 	fail   func(format string, args ...any)
 
-	now    time.Duration
-	nodes  map[string]*simNode
-	ids    []string
-	net    []Message
-	cut    map[string]bool
-	nextID uint64
+	now   time.Duration
+	nodes map[string]*simNode
+	ids   []string
+	net   []Message
+	cut   map[string]bool
+	// blocked cuts single directions; nil for none.
+	blocked func(from, to string) bool
+	nextID  uint64
 
 	// leaders, committed and commitTerm record what must never change.
 	leaders    map[uint64]Identity
@@ -349,6 +351,9 @@
 	if node == nil || sim.cut[m.From.ID] || sim.cut[m.To.ID] {
 		return
 	}
+	if sim.blocked != nil && sim.blocked(m.From.ID, m.To.ID) {
+		return
+	}
 	sim.step(node, Receive{Message: m})
 }
 
@@ -375,6 +380,7 @@
 		}
 	}
 	clear(sim.cut)
+	sim.blocked = nil
 	for round := range rounds {
 		sim.quiet(round)
 	}
