Four deliveries under way to each replica, in order

Cause: one Deliver call at a time made each message wait up to a round trip for the one before it; a heartbeat alone is under way 40 of every 50 ms between regions 20 ms apart. Ruled out: calls without order (net/rpc runs each in its own goroutine, and an overtaken request looks like lost entries and is sent again). Change: calls are numbered in a stream; the receiver holds what comes early, passes over a gap once a window has come after it, and a failed call begins a new stream.

--- a/internal/control/driver/bench_test.go
+++ b/internal/control/driver/bench_test.go
@@ -38,6 +38,11 @@
 		g.start(peer, Options{GroupCommit: size}, false)
 	}
 	g.mustApply("a", 1)
+	measureCommits(b, g, callers)
+}
+
+// measureCommits sends tickets to the leader from the callers given.
+func measureCommits(b *testing.B, g *group, callers int) {
 	leader := g.peer(g.leader())
 	latencies := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	var mu sync.Mutex
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -30,10 +30,14 @@
 	network *network
 	// snapshotEntries is small in tests, so that snapshots happen.
 	snapshotEntries int
+	times           settings.Replication
 }
 
 func newGroup(t testing.TB, ids ...string) *group {
 	g := &group{t: t, folder: t.TempDir(), nodes: map[string]*Node{}, client: wire.NewClient(nil), network: newNetwork(), snapshotEntries: 50}
+	g.times = settings.DefaultControl().Replication
+	g.times.Heartbeat = 20 * time.Millisecond
+	g.times.ElectionTimeout = 300 * time.Millisecond
 	for _, id := range ids {
 		g.members = append(g.members, settings.Peer{ID: id, Address: reserve(t), DataCentre: "dc-" + id})
 	}
@@ -60,8 +64,7 @@
 	set.Listen.Peers = peer.Address
 	set.Storage.Folder = filepath.Join(g.folder, peer.ID)
 	set.Storage.SnapshotEntries = g.snapshotEntries
-	set.Replication.Heartbeat = 20 * time.Millisecond
-	set.Replication.ElectionTimeout = 300 * time.Millisecond
+	set.Replication = g.times
 	set.Members = g.members
 	return *set
 }
--- a/internal/control/driver/peer_service.go
+++ b/internal/control/driver/peer_service.go
@@ -28,15 +28,20 @@
 	if err := p.sameGroup(args.Group); err != nil {
 		return err
 	}
-	for _, m := range args.Messages {
-		p.n.peers.learn(m.From, args.Address)
-		if !p.n.post(replica.Receive{Message: m}) {
-			return errStopping
-		}
+	if len(args.Messages) == 0 {
+		return nil
 	}
+	p.n.peers.learn(args.Messages[0].From, args.Address)
+	p.n.peers.from(args.Address).take(args.Stream, args.Seq, args.Messages, p.postAll)
 	return nil
 }
 
+func (p *peerService) postAll(batch []replica.Message) {
+	for _, m := range batch {
+		p.n.post(replica.Receive{Message: m})
+	}
+}
+
 // Hello tells who the replica is.
 func (p *peerService) Hello(args *HelloArgs, reply *HelloReply) error {
 	if err := p.sameGroup(args.Group); err != nil {
--- a/internal/control/driver/peers.go
+++ b/internal/control/driver/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"sync"
+	"time"
 
 	"wigeonbay/internal/control/replica"
 )
@@ -24,7 +25,10 @@
 	// Group is the group's name from the settings.
 	Group string
 	// Address is where the sender listens.
-	Address  string
+	Address string
+	// Stream and Seq put the calls of one sender in order.
+	Stream   uint64
+	Seq      uint64
 	Messages []replica.Message
 }
 
@@ -52,6 +56,8 @@
 	// queues is by address; addresses is what the replicas told of themselves.
 	queues    map[string]chan replica.Message
 	addresses map[replica.Identity]string
+	// incoming is by the sender's address.
+	incoming map[string]*inStream
 }
 
 func newPeers(n *Node) *peers {
@@ -59,6 +65,7 @@
 		node:      n,
 		queues:    map[string]chan replica.Message{},
 		addresses: map[replica.Identity]string{},
+		incoming:  map[string]*inStream{},
 	}
 }
 
@@ -75,6 +82,18 @@
 	p.addresses[id] = address
 }
 
+// from returns the stream of messages of the sender at an address.
+func (p *peers) from(address string) *inStream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stream := p.incoming[address]
+	if stream == nil {
+		stream = &inStream{held: map[uint64][]replica.Message{}}
+		p.incoming[address] = stream
+	}
+	return stream
+}
+
 // send queues a message. A full queue drops it, as a network would.
 func (p *peers) send(m replica.Message) {
 	address := p.node.addressOf(m.To)
@@ -100,15 +119,32 @@
 	return queue
 }
 
-// drain delivers what is queued for one address, a batch a call.
+// drain delivers what is queued for one address, a batch a call, with a few
+// calls under way at a time.
 func (p *peers) drain(address string, queue chan replica.Message) {
 	defer p.running.Done()
+	window := make(chan struct{}, deliverWindow)
+	out := &outStream{stream: uint64(time.Now().UnixNano())}
 	for {
+		select {
+		case <-p.node.stop.Done():
+			return
+		case window <- struct{}{}:
+		}
 		select {
 		case <-p.node.stop.Done():
 			return
 		case first := <-queue:
-			p.deliver(address, gather(first, queue))
+			batch := gather(first, queue)
+			stream, seq := out.number()
+			p.running.Add(1)
+			go func() {
+				defer p.running.Done()
+				if !p.deliver(address, stream, seq, batch) {
+					out.failed(stream)
+				}
+				<-window
+			}()
 		}
 	}
 }
@@ -144,12 +180,15 @@
 
 // deliver makes one call. A failed one is dropped: the protocol sends again,
 // and a repeated old message would only take up room.
-func (p *peers) deliver(address string, batch []replica.Message) {
+func (p *peers) deliver(address string, stream, seq uint64, batch []replica.Message) bool {
 	timeout := p.node.set.Replication.ElectionTimeout
 	ctx, cancel := context.WithTimeout(p.node.stop, timeout)
 	defer cancel()
-	args := &DeliverArgs{Group: p.node.set.Group, Address: p.node.Address(), Messages: batch}
-	_ = p.node.client.Call(ctx, address, methodDeliver, args, &DeliverReply{})
+	args := &DeliverArgs{
+		Group: p.node.set.Group, Address: p.node.Address(),
+		Stream: stream, Seq: seq, Messages: batch,
+	}
+	return p.node.client.Call(ctx, address, methodDeliver, args, &DeliverReply{}) == nil
 }
 
 func (p *peers) wait() { p.running.Wait() }
