--- a/tests/faults/group_test.go
+++ b/tests/faults/group_test.go
@@ -119,13 +119,22 @@
 // cut cuts what replica from dials off from replica to.
 func (g *group) cut(from int, kind wire.Cut, to ...int) {
 	g.t.Helper()
-	var lines strings.Builder
+	var addresses []string
 	for _, i := range to {
-		fmt.Fprintf(&lines, "%s %s\n", g.addresses[i], kind)
+		addresses = append(addresses, g.addresses[i])
+	}
+	writeCuts(g.t, g.cutFiles[from], kind, addresses...)
+}
+
+// writeCuts replaces a process's file of cuts.
+func writeCuts(t *testing.T, file string, kind wire.Cut, addresses ...string) {
+	t.Helper()
+	var lines strings.Builder
+	for _, address := range addresses {
+		fmt.Fprintf(&lines, "%s %s\n", address, kind)
 	}
-	written := g.cutFiles[from] + ".new"
-	assert.NilError(g.t, os.WriteFile(written, []byte(lines.String()), 0o644))
-	assert.NilError(g.t, os.Rename(written, g.cutFiles[from]))
+	assert.NilError(t, os.WriteFile(file+".new", []byte(lines.String()), 0o644))
+	assert.NilError(t, os.Rename(file+".new", file))
 }
 
 // isolate cuts a replica off both ways; clients still reach it.
