A recorded run of the membership can be replayed

Ruled out: maps kept sorted; only these two orders reach an effect. Change: owned targets and the names of a leaf are put in order.

--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -197,6 +199,9 @@
 		}
 		s.owned = append(s.owned, t)
 	}
+	slices.SortFunc(s.owned, func(a, b *targetEntry) int {
+		return strings.Compare(string(a.Announcement.Target), string(b.Announcement.Target))
+	})
 }
 
 func (s *State) owns(t *targetEntry) bool {
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -36,6 +36,8 @@
 	cut func(from, to *simNode) bool
 	// lose, when set, says which messages are lost by what they carry.
 	lose func(m Message) bool
+	// onStep, when set, sees each event of a node.
+	onStep func(n *simNode, event Event)
 	// onEffect, when set, sees each effect of a node.
 	onEffect func(n *simNode, e Effect)
 	// onSent, when set, sees the size of each encoded message.
@@ -47,6 +49,7 @@
 // simNode is one entry node.
 type simNode struct {
 	id, dc, address  string
+	config           Config
 	state            *State
 	down             bool
 	frozen           bool
@@ -125,12 +128,13 @@
 
 func (s *sim) startNode(id, dc string, incarnation uint64) *simNode {
 	n := &simNode{id: id, dc: dc, address: id, states: map[api.TargetID][]api.TargetState{}}
-	n.state = New(Config{
+	n.config = Config{
 		Self:       Member{ID: id, Address: id, DataCentre: dc, Incarnation: incarnation},
 		Seeds:      s.seeds,
 		Timing:     s.timing,
 		RandomSeed: s.random.Uint64(),
-	}, s.now)
+	}
+	n.state = New(n.config, s.now)
 	s.nodes[id] = n
 	s.address[id] = n
 	s.started = append(s.started, n)
@@ -157,6 +161,9 @@
 	if n.down {
 		return
 	}
+	if s.onStep != nil {
+		s.onStep(n, event)
+	}
 	for _, effect := range n.state.Step(event) {
 		s.carryOut(n, effect)
 	}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -56,8 +56,8 @@
 
 func (s *State) addLeaf(m *Message, leaf uint16) {
 	m.Buckets = append(m.Buckets, Bucket{Depth: treeDepth, Index: leaf})
-	for name, r := range s.tree.leaves[leaf] {
-		m.Keys = append(m.Keys, Key{Name: name, Version: r.version})
+	for _, name := range s.tree.names(leaf) {
+		m.Keys = append(m.Keys, Key{Name: name, Version: s.tree.leaves[leaf][name].version})
 	}
 }
 
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -81,6 +83,11 @@
 	return r, ok
 }
 
+// names returns the names' hashes in a leaf, in order.
+func (t *tree) names(leaf uint16) []uint64 {
+	return slices.Sorted(maps.Keys(t.leaves[leaf]))
+}
+
 // bucket returns one part's sum.
 func (t *tree) bucket(depth uint8, index uint16) Bucket {
 	return Bucket{Depth: depth, Index: index, Hash: t.levels[depth][index]}
