--- a/internal/entry/driver/callers.go
+++ b/internal/entry/driver/callers.go
@@ -42,7 +42,8 @@
 	r.HandleFunc("/readyz", n.serveReady).Methods(http.MethodGet)
 	r.NotFoundHandler = refuseWith(http.StatusNotFound, "no such path")
 	r.MethodNotAllowedHandler = refuseWith(http.StatusMethodNotAllowed, "this path does not take this method")
-	return otelhttp.NewHandler(r, "entry.request")
+	byOperation := func(operation string, _ *http.Request) string { return operation }
+	return otelhttp.NewHandler(n.closeWhenDraining(r), "entry.request", otelhttp.WithSpanNameFormatter(byOperation))
 }
 
 func refuseWith(status int, detail string) http.Handler {
@@ -173,7 +174,7 @@
 	if problem := n.readBody(w, r, body); problem != nil {
 		return time.Time{}, problem
 	}
-	return arrived.Add(timeout), nil
+	return arrived.Add(timeout), n.refuseUninformed()
 }
 
 func (n *Node) timeoutOf(r *http.Request) (time.Duration, *api.Problem) {
