A tenth of the messages lost kills nobody

Cause: suspicion under steady loss had no test. Change: TestLossKillsNobody, three minutes with 10% loss and reordering in data centres of 2, 3 and 15. Ruled out: longer suspicion times; none was needed. Conclusion: the times stand.

--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -457,3 +457,22 @@
 	assert.Assert(t, first.isolations > 0)
 	assert.Equal(t, s.nodes["oeste-0"].state.members["oeste-2"].Address, "twin")
 }
+
+// TestLossKillsNobody loses a tenth of all messages and reorders the rest.
+//
+// fault: delayed and reordered replies x announce
+func TestLossKillsNobody(t *testing.T) {
+	for _, perDC := range []int{2, 3, 15} {
+		s := newSim(t, perDC, "oeste", "serra")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		s.loss = 0.1
+		s.jitter = 100 * time.Millisecond
+		s.run(3 * time.Minute)
+		suspects := 0
+		for _, n := range s.live() {
+			assert.Equal(t, n.deaths, 0, "%s of %d", n.id, perDC)
+			suspects += n.suspects
+		}
+		t.Logf("%d nodes: %d suspicions noted", 2*perDC, suspects)
+	}
+}
