Large data centres: a bounded number of contacts for each node

Cause: in a data centre of 600 every node spoke to every other within minutes. At 47 KiB a connection (BenchmarkConnections) that is some 28 MB of the 64, and wire's ping a second on each connection would cost about 40 KB/s of the 6 (600 messages of 66 B, reckoned). TestContactsAreBounded failed: 63 peers in 40 s at 150 nodes. Ruled out: closing connections at once (a TLS handshake a message); UDP for probes (one more transport, and the news would still need connections). Change: above 64 nodes a node probes and pushes to 32 contacts by rendezvous hash; driver.KeepAlive for the membership's own client.

--- a/internal/membership/driver/service.go
+++ b/internal/membership/driver/service.go
@@ -30,7 +30,8 @@
 	// the start in nanoseconds will do.
 	Incarnation uint64
 	Seeds       []settings.Peer
-	Client      *wire.Client
+	// Client should be made with KeepAlive and used for nothing else.
+	Client *wire.Client
 	Logger      *zap.Logger
 	// OnChange is called with each change, one call at a time and in order. It
 	// may block: changes that come meanwhile are put together.
--- a/internal/membership/driver/service_test.go
+++ b/internal/membership/driver/service_test.go
@@ -156,7 +156,7 @@
 	}
 	nodes := make([]*node, count)
 	for i := range nodes {
-		n := &node{id: seeds[i].ID, server: wire.NewServer(), client: wire.NewClient(dial), targets: map[api.TargetID]api.TargetState{}}
+		n := &node{id: seeds[i].ID, server: wire.NewServer(), client: wire.NewClient(dial, wire.WithKeepAlive(KeepAlive())), targets: map[api.TargetID]api.TargetState{}}
 		n.service = New(Config{
 			ID:          n.id,
 			Address:     seeds[i].Address,
--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -476,3 +476,30 @@
 		t.Logf("%d nodes: %d suspicions noted", 2*perDC, suspects)
 	}
 }
+
+// TestContactsAreBounded checks that a node of a large data centre talks to a
+// bounded number of others, and that each node is somebody's contact.
+func TestContactsAreBounded(t *testing.T) {
+	s := newSim(t, 150, "oeste")
+	s.meetAll()
+	asked := map[string]map[string]bool{}
+	probed := map[string]int{}
+	s.onEffect = func(n *simNode, e Effect) {
+		send, ok := e.(Send)
+		if !ok || send.Message.Kind == KindAck || send.Message.Kind == KindPushAck {
+			return
+		}
+		if asked[n.id] == nil {
+			asked[n.id] = map[string]bool{}
+		}
+		asked[n.id][send.Address] = true
+		if send.Message.Kind == KindPing {
+			probed[send.Address]++
+		}
+	}
+	s.run(40 * time.Second)
+	for _, n := range s.started {
+		assert.Assert(t, len(asked[n.id]) <= 40, "%s spoke to %d nodes", n.id, len(asked[n.id]))
+		assert.Assert(t, probed[n.id] > 4, "%s was probed %d times in 40 s", n.id, probed[n.id])
+	}
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -225,10 +225,30 @@
 	return slices.DeleteFunc(list, func(e *memberEntry) bool { return e.ID == s.self })
 }
 
-// randomPeers returns up to n listed members of this data centre, other than
-// this node and the one named.
-func (s *State) randomPeers(n int, except string) []*memberEntry {
+// contactList returns the members of this data centre that the node talks to:
+// all of them, this node included, in a small one; else those with the highest
+// rendezvous hashes for the pair. That is a random graph, in which news takes a
+// few steps more than among all, and a node has a bounded number of
+// connections.
+func (s *State) contactList() []*memberEntry {
 	list := s.listed[s.me().DataCentre]
+	if len(list) <= 2*s.timing.Contacts {
+		return list
+	}
+	if s.contactsVersion != s.membersVersion || s.contacts == nil {
+		own := s.me().score
+		s.contactsVersion = s.membersVersion
+		s.contacts = highest(s.peers(s.me().DataCentre), s.timing.Contacts, func(e *memberEntry) uint64 {
+			return mix(e.score ^ own)
+		})
+	}
+	return s.contacts
+}
+
+// randomPeers returns up to n of the node's contacts, other than this node and
+// the one named.
+func (s *State) randomPeers(n int, except string) []*memberEntry {
+	list := s.contactList()
 	if len(list) <= 3*n {
 		return s.shuffledPeers(list, n, except)
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -37,8 +37,8 @@
 	at       time.Time
 }
 
-// probeNext judges the last probe and starts one of the next member, in a
-// random order that reaches each member once a round.
+// probeNext judges the last probe and starts one of the next contact, in a
+// random order that reaches each once a round.
 func (s *State) probeNext() {
 	s.judgeProbe()
 	e := s.nextProbed()
@@ -83,8 +83,10 @@
 				return e
 			}
 		}
-		for _, e := range s.peers(s.me().DataCentre) {
-			s.probes.order = append(s.probes.order, e.ID)
+		for _, e := range s.contactList() {
+			if e.ID != s.self {
+				s.probes.order = append(s.probes.order, e.ID)
+			}
 		}
 		order := s.probes.order
 		s.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -49,7 +49,10 @@
 	listed         map[string][]*memberEntry
 	membersVersion uint64
 	membersDirty   bool
-	suspects       map[string]struct{}
+	// contacts caches the contacts for contactsVersion of the members.
+	contacts        []*memberEntry
+	contactsVersion uint64
+	suspects        map[string]struct{}
 	// owned holds the targets whose lease this node keeps, as found for
 	// ownedVersion of the members.
 	owned        []*targetEntry
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -21,6 +21,9 @@
 	Suspicion time.Duration
 	// Fanout is the number of peers that news is pushed to in one round.
 	Fanout int
+	// Contacts is the number of members of a large data centre that a node
+	// probes and pushes to: each costs a connection.
+	Contacts int
 	// GossipInterval is the time between two rounds of pushing the same news.
 	GossipInterval time.Duration
 	// GossipRounds bounds the rounds for one piece of news.
@@ -82,6 +85,7 @@
 		IndirectProbes:    3,
 		Suspicion:         4 * time.Second,
 		Fanout:            4,
+		Contacts:          32,
 		GossipInterval:    200 * time.Millisecond,
 		GossipRounds:      25,
 		KnownLimit:        2,
