--- a/internal/membership/driver/service.go
+++ b/internal/membership/driver/service.go
@@ -32,7 +32,7 @@
 	Seeds       []settings.Peer
 	// Client should be made with KeepAlive and used for nothing else.
 	Client *wire.Client
-	Logger      *zap.Logger
+	Logger *zap.Logger
 	// OnChange is called with each change, one call at a time and in order. It
 	// may block: changes that come meanwhile are put together.
 	OnChange func(Change)
