--- a/internal/searcher/config.go
+++ b/internal/searcher/config.go
@@ -43,7 +43,8 @@
 	AcceptDelay time.Duration
 	// NetworkDelay is the one-way delay to the entry nodes.
 	NetworkDelay time.Duration
-	// ServiceTime is the median time that one request holds a slot.
+	// ServiceTime is the median time for which the search of one shard of the
+	// first holding's layout holds a slot.
 	ServiceTime time.Duration
 	// Spread is the standard deviation of the logarithm of the service time;
 	// 0 makes every service time the median.
--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -52,9 +52,13 @@
 }
 
 // searchTime is the time that the request holds its slot: shards are searched
-// one after the other.
+// one after the other, each in a time that goes with its size.
 func (s *Searcher) searchTime(request api.ShardRequest, holding api.Holding) time.Duration {
-	return time.Duration(len(request.Shards)) * s.times.draw(time.Now(), holding.Warm)
+	one := s.times.draw(time.Now(), holding.Warm)
+	if len(s.cfg.Holdings) > 0 {
+		one = one * time.Duration(s.cfg.Holdings[0].LayoutShards) / time.Duration(holding.LayoutShards)
+	}
+	return time.Duration(len(request.Shards)) * one
 }
 
 // abandoned tells of a request that held a slot and did not finish.
--- a/internal/searcher/searcher_test.go
+++ b/internal/searcher/searcher_test.go
@@ -270,3 +270,23 @@
 	}
 	return sum
 }
+
+func TestSearchTimeGoesWithTheSizeOfTheShards(t *testing.T) {
+	s := ready(t, testConfig(t))
+	tests := []struct {
+		name         string
+		layoutShards int
+		shards       []api.ShardID
+		want         time.Duration
+	}{
+		{"one shard", 4, []api.ShardID{0}, 10 * time.Millisecond},
+		{"two shards, one after the other", 4, []api.ShardID{0, 1}, 20 * time.Millisecond},
+		{"a shard half the size", 8, []api.ShardID{0}, 5 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			holding := api.Holding{LayoutShards: test.layoutShards, Warm: true}
+			assert.Equal(t, s.searchTime(searchRequest(test.shards...), holding), test.want)
+		})
+	}
+}
