Experiment straggler-light

Change: the same straggler at a quarter of the slots, beside the other. Ruled out: a lower load in place of the other: the bound stays measured where it is hard.

--- a/internal/experiment/all.go
+++ b/internal/experiment/all.go
@@ -16,6 +16,8 @@
 	// overloadServiceTime keeps the number of searches in an overload small
 	// enough for the machine.
 	overloadServiceTime = 40 * time.Millisecond
+	// lightLoad is the load of straggler-light.
+	lightLoad = 0.25
 	// nodes is the number of entry nodes of most experiments.
 	nodes = 3
 )
@@ -32,7 +34,7 @@
 		common("drain-third", "a third of the searchers drains and leaves", Part{Fault: drainThird, Slow: slowThird(gone)}),
 		common("lying-load", "a third straggles and reports no load, a third reports to be busy", Part{Fault: lie, Slow: slowThird(liarFactor)}),
 	}
-	return append(all, overload(), flood(), chapecoSizes(), saryarkaSizes(), wide())
+	return append(all, lightStraggler(), overload(), flood(), chapecoSizes(), saryarkaSizes(), wide())
 }
 
 // common is an experiment on one service of 4 shards with 3 replicas each.
@@ -47,6 +49,16 @@
 	}
 }
 
+// lightStraggler is the straggler at a load at which the shard's other two
+// replicas are far from full: at half of the slots even the floor is slower
+// than before the fault.
+func lightStraggler() Experiment {
+	e := common("straggler-light", "one replica runs 20 times slower, at a lighter load",
+		Part{Fault: straggle, Slow: slowFirst(stragglerFactor)})
+	e.Before.Load, e.During.Load = lightLoad, lightLoad
+	return e
+}
+
 func overload() Experiment {
 	e := common("overload", "twice the load that the slots carry", Part{})
 	e.Services[0].ServiceTime = overloadServiceTime
