Operators are told when an entry node is back

Cause: a node that had been taken for dead came back without a log event; seen with nine processes of the Saryarka example, one stopped for 12 s: suspected 1.6 s after the last answer, dead 4 s later everywhere, refuted at its waking, nobody else accused and no lease ended, but no event 3003 at its return (TestRestartWithLowerIncarnation failed on the missing note). Ruled out: an event of its own; to operators it is the same as joining. Change: event 3003 for members that were dead or had left, too. Conclusion: each change of a node's state has its event.

--- a/internal/membership/effect.go
+++ b/internal/membership/effect.go
@@ -40,6 +40,7 @@
 
 // Kinds of notes.
 const (
+	// NoteMemberJoined tells of a member that was unknown, dead or had left.
 	NoteMemberJoined NoteKind = iota
 	NoteMemberSuspected
 	NoteMemberDead
--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -74,7 +74,14 @@
 	s.nodes["oeste-2"].down = true
 	s.run(20 * time.Second)
 	s.startNode("oeste-2", "oeste", 0)
+	joined := 0
+	s.onEffect = func(n *simNode, e Effect) {
+		if note, ok := e.(Note); ok && n.id == "oeste-0" && note.Kind == NoteMemberJoined {
+			joined++
+		}
+	}
 	s.runUntil(10*time.Second, "membership complete", s.converged)
+	assert.Equal(t, joined, 1, "operators weren't told that the node is back")
 }
 
 // A message for the process that had the address before must not be answered:
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -84,11 +84,15 @@
 	if !accepted {
 		return true, false
 	}
+	back := !cur.Listed()
 	e := s.putMember(next)
 	if next.State == MemberSuspect {
 		e.suspectAt = s.now
 	}
 	s.rumour(false, m.ID, from)
+	if back && e.Listed() {
+		s.note(NoteMemberJoined, m.ID)
+	}
 	s.noteMember(e)
 	return false, false
 }
--- a/internal/telemetry/events_membership.go
+++ b/internal/telemetry/events_membership.go
@@ -4,7 +4,7 @@
 
 // Events of the membership part, 3xxx.
 var (
-	MembershipMemberJoined    = Event{3003, zapcore.InfoLevel, "entry node joined", "An entry node that was unknown is now a member; subject is its id."}
+	MembershipMemberJoined    = Event{3003, zapcore.InfoLevel, "entry node joined", "An entry node that was unknown, dead or gone is now a member; subject is its id."}
 	MembershipMemberSuspected = Event{3004, zapcore.WarnLevel, "entry node suspected", "An entry node did not answer direct and indirect probes. It is declared dead in seconds unless it refutes. If this repeats for one node, look at its load and its network."}
 	MembershipMemberDead      = Event{3005, zapcore.WarnLevel, "entry node dead", "An entry node did not refute the suspicion. Its share of connections and leases goes to the others. Replace the VM or look at its network."}
 	MembershipMemberLeft      = Event{3006, zapcore.InfoLevel, "entry node left", "An entry node shut down gracefully."}
