--- a/tests/faults/repair_test.go
+++ b/tests/faults/repair_test.go
@@ -3,6 +3,7 @@
 package faults
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/wire"
 )
 
 // change accepts the next count tickets through replica through, each of them
@@ -121,3 +123,106 @@
 	g.read(h, 2)
 	h.check(t, ticketModel())
 }
+
+// Times of a repair under a fault.
+const (
+	repairWork = 4 * time.Second
+	// struckFor is longer than an election takes.
+	struckFor = time.Second
+)
+
+// checkRepair repairs the lost disk of replica 1 while operators race. strike
+// causes a fault before the repair begins and returns how to end it, which
+// happens while the repair is asked for. Another disk is lost for good after
+// that.
+func checkRepair(t *testing.T, strike func(g *group) (end func())) {
+	t.Helper()
+	g := startGroup(t)
+	h := newHistory()
+	work, cancel := context.WithTimeout(context.Background(), repairWork)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		operate(work, g, h)
+	}()
+	pause(struckFor)
+	g.loseDisk(1)
+	end := strike(g)
+	g.processes[1].start()
+	time.AfterFunc(struckFor, end)
+	g.replace(1, 0)
+	<-done
+	g.loseDisk(2)
+	g.read(h, 0)
+	g.read(h, 1)
+	h.check(t, ticketModel())
+}
+
+// TestRepairWhileReplicasFreeze stops one of the replicas whose votes the
+// repair needs, and continues it.
+//
+// fault: stop-continue x repair
+// fault: operators-racing x repair
+func TestRepairWhileReplicasFreeze(t *testing.T) {
+	for _, victim := range []int{0, 2} {
+		t.Run(dataCentres[victim], func(t *testing.T) {
+			checkRepair(t, func(g *group) func() {
+				g.processes[victim].freeze()
+				return g.processes[victim].thaw
+			})
+		})
+	}
+}
+
+// TestRepairUnderCuts cuts the emptied replica off both ways or one way, or has
+// the connections between the others go silent for good.
+//
+// fault: cut-both x repair
+// fault: cut-one-way x repair
+// fault: silent-connection x repair
+func TestRepairUnderCuts(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		cut  func(*group)
+	}{
+		{name: "both ways", cut: func(g *group) { g.isolate(1) }},
+		{name: "one way", cut: func(g *group) {
+			g.cut(0, wire.CutSilent, 1)
+			g.cut(2, wire.CutSilent, 1)
+		}},
+		{name: "silent connections", cut: func(g *group) {
+			g.cut(0, wire.CutSilentOld, 2)
+			g.cut(2, wire.CutSilentOld, 0)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			checkRepair(t, func(g *group) func() {
+				tc.cut(g)
+				return g.heal
+			})
+		})
+	}
+}
+
+// TestRepairAfterHundredsOfChanges repairs a replica that must take a snapshot,
+// after it was isolated for all of the changes.
+//
+// fault: restart-after-changes x repair
+// fault: control-alone x repair
+// fault: cut-data-centre x repair
+func TestRepairAfterHundredsOfChanges(t *testing.T) {
+	g := startGroup(t)
+	h := newHistory()
+	next := uint64(1)
+	g.isolate(2)
+	g.change(h, 0, &next, 500)
+	g.loseDisk(2)
+	g.heal()
+	g.processes[2].start()
+	g.replace(2, 1)
+	g.loseDisk(0)
+	g.read(h, 1)
+	g.read(h, 2)
+	h.check(t, ticketModel())
+}
--- a/tests/faults/submit_test.go
+++ b/tests/faults/submit_test.go
@@ -33,10 +33,11 @@
 // system is a control group with two entry nodes and one searcher process.
 type system struct {
 	*group
-	entries  []*process
-	cutFiles []string
-	callers  []*load.Client // one for each entry node
-	target   string
+	entries   []*process
+	cutFiles  []string
+	operators []string       // addresses of the entry nodes
+	callers   []*load.Client // one for each entry node
+	target    string
 }
 
 func startSystem(t *testing.T) *system {
@@ -53,6 +54,7 @@
 		caller := load.NewClient(addresses[3*i:3*i+1], "faults")
 		t.Cleanup(caller.Close)
 		s.callers = append(s.callers, caller)
+		s.operators = append(s.operators, addresses[3*i+1])
 	}
 	s.target = addresses[3*entries]
 	launch(t, "wigeon-searcher", "searcher", s.searcherSettings(addresses))
