docs/CAPACITY.md with its arithmetic printed from measured slopes

Ruled out: figures written by hand (they would drift from the slopes). Change: internal/tools/capacity holds each slope with its command and prints the tables; a test holds the page to them; make capacity and make capacity-doc.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target works on a fresh machine with Go; model also needs spin.
 GO ?= go
 
-.PHONY: build test lint demo serve examples bench faults faults-doc model
+.PHONY: build capacity capacity-doc test lint demo serve examples bench faults faults-doc model
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -46,3 +46,10 @@
 faults: build
 	$(GO) vet -tags faults ./tests/faults
 	$(GO) test -tags faults -count=1 -timeout 240s ./tests/faults
+
+# Prints the arithmetic of docs/CAPACITY.md; capacity-doc writes it there.
+capacity:
+	@$(GO) run ./internal/tools/capacity
+
+capacity-doc:
+	$(GO) run ./internal/tools/capacity --write docs/CAPACITY.md
