--- a/cmd/wigeon-load/experiment.go
+++ b/cmd/wigeon-load/experiment.go
@@ -24,6 +24,7 @@
 const (
 	flagLines   = "lines"
 	flagProfile = "cpu-profile"
+	flagLength  = "length"
 	flagPlot    = "plot"
 )
 
@@ -118,7 +119,8 @@
 		ArgsUsage: "NAME",
 		Description: "Runs entry nodes and searchers in this process, with the shipped policy and\n" +
 			"the plain baseline at the same time. Names: " + strings.Join(experiment.Names(), ", "),
-		Flags:  experimentFlags(),
+		Flags: append(experimentFlags(),
+			&urfave.DurationFlag{Name: flagLength, Usage: "measure for this time after the fault begins, in place of the experiment's own"}),
 		Action: runExperiment,
 	}
 }
@@ -128,6 +130,9 @@
 	if err != nil {
 		return cli.Usagef("%v; names are %s", err, strings.Join(experiment.Names(), ", "))
 	}
+	if length := c.Duration(flagLength); length > 0 {
+		e.During.Length = length
+	}
 	return measured(c, func(out *output) error {
 		return runInto(ctx, c, e, out)
 	})
