--- a/internal/membership/liveness_test.go
+++ b/internal/membership/liveness_test.go
@@ -74,7 +74,14 @@
 	s.nodes["oeste-2"].down = true
 	s.run(20 * time.Second)
 	s.startNode("oeste-2", "oeste", 0)
+	joined := 0
+	s.onEffect = func(n *simNode, e Effect) {
+		if note, ok := e.(Note); ok && n.id == "oeste-0" && note.Kind == NoteMemberJoined {
+			joined++
+		}
+	}
 	s.runUntil(10*time.Second, "membership complete", s.converged)
+	assert.Equal(t, joined, 1, "operators weren't told that the node is back")
 }
 
 // A message for the process that had the address before must not be answered:
@@ -457,3 +464,49 @@
 	assert.Assert(t, first.isolations > 0)
 	assert.Equal(t, s.nodes["oeste-0"].state.members["oeste-2"].Address, "twin")
 }
+
+// TestLossKillsNobody loses a tenth of all messages and reorders the rest.
+//
+// fault: delayed and reordered replies x announce
+func TestLossKillsNobody(t *testing.T) {
+	for _, perDC := range []int{2, 3, 15} {
+		s := newSim(t, perDC, "oeste", "serra")
+		s.runUntil(20*time.Second, "membership complete", s.converged)
+		s.loss = 0.1
+		s.jitter = 100 * time.Millisecond
+		s.run(3 * time.Minute)
+		suspects := 0
+		for _, n := range s.live() {
+			assert.Equal(t, n.deaths, 0, "%s of %d", n.id, perDC)
+			suspects += n.suspects
+		}
+		t.Logf("%d nodes: %d suspicions noted", 2*perDC, suspects)
+	}
+}
+
+// TestContactsAreBounded checks that a node of a large data centre talks to a
+// bounded number of others, and that each node is somebody's contact.
+func TestContactsAreBounded(t *testing.T) {
+	s := newSim(t, 100, "oeste")
+	s.meetAll()
+	asked := map[string]map[string]bool{}
+	probed := map[string]int{}
+	s.onEffect = func(n *simNode, e Effect) {
+		send, ok := e.(Send)
+		if !ok || send.Message.Kind == KindAck || send.Message.Kind == KindPushAck {
+			return
+		}
+		if asked[n.id] == nil {
+			asked[n.id] = map[string]bool{}
+		}
+		asked[n.id][send.Address] = true
+		if send.Message.Kind == KindPing {
+			probed[send.Address]++
+		}
+	}
+	s.run(40 * time.Second)
+	for _, n := range s.started {
+		assert.Assert(t, len(asked[n.id]) <= 40, "%s spoke to %d nodes", n.id, len(asked[n.id]))
+		assert.Assert(t, probed[n.id] > 4, "%s was probed %d times in 40 s", n.id, probed[n.id])
+	}
+}
