Plot as SVG or PNG, one legend

Cause: the legend lay over the curves of three panels, and a PNG is easier to show. Change: the format goes by the file's name; the legend stands in the first panel only. Ruled out: a panel for each policy. Conclusion: no measurement changes.

--- a/cmd/wigeon-load/experiment.go
+++ b/cmd/wigeon-load/experiment.go
@@ -151,7 +151,7 @@
 		Name:  "bench",
 		Usage: "run every experiment and the curve of latency against load",
 		Flags: append(experimentFlags(),
-			&urfave.StringFlag{Name: flagPlot, Usage: "draw the curve into `FILE` (SVG)", TakesFile: true}),
+			&urfave.StringFlag{Name: flagPlot, Usage: "draw the curve into `FILE` (.svg or .png)", TakesFile: true}),
 		Action: runBench,
 	}
 }
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"image/color"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 )
 
 // Size of the drawing.
@@ -20,15 +21,16 @@
 
 // panel is one of the drawing's plots, all over the load.
 type panel struct {
-	label string
-	value func(Result) float64
+	label  string
+	legend bool
+	value  func(Result) float64
 }
 
 var panels = []panel{
-	{"p99 latency (ms)", func(r Result) float64 { return r.P99MS }},
-	{"coverage", func(r Result) float64 { return r.Coverage }},
-	{"extra load (%)", func(r Result) float64 { return 100 * r.ExtraLoad }},
-	{"useful answers / slots", func(r Result) float64 { return r.Useful }},
+	{"p99 latency (ms)", true, func(r Result) float64 { return r.P99MS }},
+	{"coverage", false, func(r Result) float64 { return r.Coverage }},
+	{"extra load (%)", false, func(r Result) float64 { return 100 * r.ExtraLoad }},
+	{"useful answers / slots", false, func(r Result) float64 { return r.Useful }},
 }
 
 var policyColours = map[string]color.Color{
@@ -37,8 +39,8 @@
 	floorPolicy: color.RGBA{R: 0x55, G: 0x55, B: 0x55, A: 0xff},
 }
 
-// Plot draws a curve's results over the load into an SVG file: latency,
-// coverage, extra load and useful answers, one below the other.
+// Plot draws a curve's results over the load into a file, SVG or PNG by its
+// name: latency, coverage, extra load and useful answers, one below the other.
 func Plot(path string, results []Result) error {
 	plots := make([][]*plot.Plot, len(panels))
 	for i, p := range panels {
@@ -48,7 +50,11 @@
 		}
 		plots[i] = []*plot.Plot{one}
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(plotWidth, plotHeight, format)
+	if err != nil {
+		return fmt.Errorf("write plot: %w", err)
+	}
 	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: vg.Centimeter / 2}
 	cells := plot.Align(plots, tiles, draw.New(canvas))
 	for i := range plots {
@@ -79,7 +85,9 @@
 		line.Color = policyColours[policy]
 		points.Color = policyColours[policy]
 		out.Add(line, points)
-		out.Legend.Add(policy, line, points)
+		if p.legend {
+			out.Legend.Add(policy, line, points)
+		}
 	}
 	out.Legend.Top, out.Legend.Left = true, true
 	return out, nil
