--- a/internal/entry/limit/admission.go
+++ b/internal/entry/limit/admission.go
@@ -23,13 +23,18 @@
 type Admission struct {
 	interval time.Duration
 	last     time.Time
+	busy     bool
 }
 
-// Completed notes that a search of the service gave its slots back.
+// Completed notes that a search of the service gave its slots back while
+// waiting others waited. Only the time between two such completions counts:
+// before the first one the service may have been idle.
 func (a *Admission) Completed(now time.Time, waiting int) {
 	gap := now.Sub(a.last)
+	sample := a.busy && waiting > 0
 	a.last = now
-	if waiting == 0 || gap < 0 {
+	a.busy = waiting > 0
+	if !sample {
 		return
 	}
 	if a.interval == 0 {
