Submits are refused at once while the ledger has no quorum

Cause: in a data centre cut off without a word, each submit waited 1.6 to 2.0 s for its claim, that is until its own deadline (seen by make faults). DESIGN section 7 asks for a refusal at once. Ruled out: refusing by the age of the configuration (it rises between long polls in a sound system as well). Change: after a claim that failed for want of a quorum one claim at a time is tried; the others are refused as not run, which is certain, nothing being sent. A claim that its caller's deadline ended says nothing of the quorum. Before: every submit waits. The first of them still waits for its own deadline.

--- a/internal/entry/driver/ledger.go
+++ b/internal/entry/driver/ledger.go
@@ -10,6 +10,7 @@
 
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/entry"
+	"wigeonbay/internal/entry/limit"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/wire"
 )
@@ -37,6 +38,7 @@
 
 	mu       sync.Mutex
 	favoured int
+	breaker  limit.Breaker
 }
 
 func newLedgerClient(config *settings.Entry, client *wire.Client) *ledgerClient {
@@ -72,34 +74,63 @@
 }
 
 // claim asks the control processes for a decision until the deadline. Without
-// one the result says whether the claim may still take effect.
+// one the result says whether the claim may still take effect. While earlier
+// claims have failed, one at a time is tried and the others are refused at
+// once.
 func (l *ledgerClient) claim(ctx context.Context, e entry.ClaimKey) (controlrpc.Result, controlrpc.ClaimReply) {
+	if !l.allow() {
+		return controlrpc.Result{Code: controlrpc.CodeNoQuorum, NotApplied: true}, controlrpc.ClaimReply{}
+	}
+	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, e.Deadline)
 	defer cancel()
 	certain := true
 	for range len(l.controls) {
-		args := controlrpc.ClaimArgs{
-			Key:           e.Key,
-			KeyTimeUnixMS: e.KeyTimeMS,
-			Claim:         e.Claim,
-			Claimant:      l.claimant,
-			Service:       e.Service,
-			Fingerprint:   e.Fingerprint,
-		}
-		var reply controlrpc.ClaimReply
-		err := l.call(ctx, func(ctx context.Context, address string) error {
-			args.Envelope = wire.NewEnvelope(ctx)
-			return l.client.Call(ctx, address, controlrpc.MethodClaim, &args, &reply)
-		})
+		reply, err := l.claimOnce(ctx, e)
 		if err == nil && reply.Result.Code == controlrpc.CodeOK {
+			l.done(limit.CallSucceeded)
 			return reply.Result, reply
 		}
 		certain = certain && provedUnapplied(err, reply.Result)
 		l.moveOn()
 	}
+	if ctx.Err() != nil && time.Since(started) < ledgerCallTimeout {
+		l.done(limit.CallGivenUp)
+	} else {
+		l.done(limit.CallFailed)
+	}
 	return controlrpc.Result{Code: controlrpc.CodeNoQuorum, NotApplied: certain}, controlrpc.ClaimReply{}
 }
 
+func (l *ledgerClient) claimOnce(ctx context.Context, e entry.ClaimKey) (controlrpc.ClaimReply, error) {
+	args := controlrpc.ClaimArgs{
+		Key:           e.Key,
+		KeyTimeUnixMS: e.KeyTimeMS,
+		Claim:         e.Claim,
+		Claimant:      l.claimant,
+		Service:       e.Service,
+		Fingerprint:   e.Fingerprint,
+	}
+	var reply controlrpc.ClaimReply
+	err := l.call(ctx, func(ctx context.Context, address string) error {
+		args.Envelope = wire.NewEnvelope(ctx)
+		return l.client.Call(ctx, address, controlrpc.MethodClaim, &args, &reply)
+	})
+	return reply, err
+}
+
+func (l *ledgerClient) allow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.breaker.Allow()
+}
+
+func (l *ledgerClient) done(end limit.CallEnd) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breaker.Done(end)
+}
+
 // provedUnapplied reports whether a failed call certainly has no effect.
 func provedUnapplied(err error, result controlrpc.Result) bool {
 	if err != nil {
