Retries count as extra requests and earn none

Cause: found reading the code: a shard that was asked again after a failure was sent as a request of the service's own. It earned extra-load tokens and was left out of extra_requests, so a service with many failures had a larger budget. Ruled out: counting them at the failure (not every failure is retried). Change: a request for a group that was asked before is extra, as hedges and trials are. Before: TestRetriesAreExtraRequests fails. After: it passes; the package's tests take 1.2 s.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -21,6 +21,8 @@
 type sending struct {
 	target *route.Target
 	groups []int
+	// extra tells that the request is a hedge, a retry or a trial.
+	extra bool
 }
 
 // dispatch sends requests for every group that has none and finds a replica
@@ -31,10 +33,11 @@
 	}
 	requests, trials, stuck := s.plan(q)
 	for _, r := range requests {
-		s.send(q, r, false)
+		s.send(q, r)
 	}
 	for _, r := range trials {
-		s.sendTrial(q, r)
+		s.counters.Trials++
+		s.send(q, r).trial = true
 	}
 	s.decideStuck(q, stuck)
 	if !q.done && q.waits() {
@@ -85,7 +88,7 @@
 	t := group.Replicas[i]
 	t.TrialSent(s.now)
 	q.groups[g].tried = q.groups[g].tried.With(i)
-	return sending{t, []int{g}}, true
+	return sending{target: t, groups: []int{g}, extra: true}, true
 }
 
 func (s *State) choice(q *search, g int) route.Choice {
@@ -108,7 +111,7 @@
 		return requests
 	}
 	t.Plan(uint64(q.id), len(requests), shards)
-	return append(requests, sending{t, []int{g}})
+	return append(requests, sending{target: t, groups: []int{g}, extra: q.groups[g].asked})
 }
 
 // endPlan forgets what was planned for the targets: from now on it counts as
@@ -119,8 +122,8 @@
 	}
 }
 
-// send sends one request. Extra requests are hedges, retries and trials.
-func (s *State) send(q *search, r sending, extra bool) *attempt {
+// send sends one request.
+func (s *State) send(q *search, r sending) *attempt {
 	shards := q.shardsOf(r.groups)
 	s.lastAttempt++
 	a := &attempt{
@@ -136,9 +139,10 @@
 	s.attempts[a.id] = a
 	q.outstanding = append(q.outstanding, a)
 	r.target.Sent(uint64(a.id), s.now, len(shards))
-	s.countRequest(q.service, extra)
+	s.countRequest(q.service, r.extra)
 	for _, g := range r.groups {
 		q.groups[g].phase = groupSent
+		q.groups[g].asked = true
 		q.groups[g].out++
 	}
 	q.hedgeAt = s.now.Add(s.hedgeDelay(q))
@@ -150,16 +154,12 @@
 		Snapshot: a.snapshot,
 		Shards:   shards,
 		Deadline: q.deadline.Add(-answerMargin),
-		Extra:    extra,
+		Extra:    r.extra,
 	})
 	return a
 }
 
-func (s *State) sendTrial(q *search, r sending) {
-	s.counters.Trials++
-	s.send(q, r, true).trial = true
-}
-
+// countRequest counts a request; only those that aren't extra earn extra ones.
 func (s *State) countRequest(svc *service, extra bool) {
 	s.counters.TargetRequests++
 	if extra {
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -79,7 +79,7 @@
 	s.endPlan(requests)
 	for _, r := range requests {
 		s.counters.Hedges++
-		s.send(q, r, true)
+		s.send(q, r)
 	}
 }
 
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -282,3 +282,16 @@
 		}
 	}
 }
+
+// fault: kill x drain
+func TestRetriesAreExtraRequests(t *testing.T) {
+	h := newHarness(t, api.Service{})
+	h.announce("a", api.TargetReady, first)
+	h.announce("b", api.TargetReady, first)
+	_, effects := h.search()
+	sent := only[SendShards](t, effects)
+	assert.Assert(t, !sent.Extra)
+	effects = h.do(AttemptFailed{Attempt: sent.Attempt, Kind: FailureRefused, Code: api.TargetDrain, NotRun: true})
+	assert.Assert(t, only[SendShards](t, effects).Extra)
+	assert.Equal(t, h.state.Counters().ExtraRequests, uint64(1))
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -104,8 +104,10 @@
 
 // groupState is a search's progress with one group of its placement.
 type groupState struct {
-	phase   groupPhase
-	out     uint8
+	phase groupPhase
+	out   uint8
+	// asked tells that a request for the group was sent before.
+	asked   bool
 	hedged  bool
 	retried bool
 	shed    bool
