--- a/internal/entry/route/target.go
+++ b/internal/entry/route/target.go
@@ -22,12 +22,6 @@
 	// overtakesToExcuse is the number of later requests that must overtake a
 	// request before its connection, and not the target, is held to be silent.
 	overtakesToExcuse = 2
-	// queueFactor times a target's quick reply time is the time from which a
-	// reply shows that it may have waited in the target's queue.
-	queueFactor = 2
-	// quickWeight is the weight of a slower reply in the quick reply time; a
-	// quicker one replaces it at once.
-	quickWeight = 0.01
 	// stuckFactor times a target's latency is the age from which a request may
 	// count as stuck.
 	stuckFactor = 4
@@ -51,9 +45,7 @@
 	// latency is the moving average of the time per shard.
 	latency time.Duration
 	// replies counts the replies of the target's incarnation.
-	replies int
-	// quick is the time per shard of the target's quick replies.
-	quick       time.Duration
+	replies     int
 	failures    int
 	suspect     bool
 	ejected     bool
@@ -128,7 +120,6 @@
 func (t *Target) Announce(a api.Announcement) {
 	if a.Incarnation != t.Announced.Incarnation {
 		t.latency = 0
-		t.quick = 0
 		t.replies = 0
 		t.failures = 0
 		t.suspect = false
@@ -157,8 +148,7 @@
 	took := done.perShard(now)
 	t.observe(took)
 	t.overtake(done.started)
-	slow := t.slowForItself(took)
-	if reported > t.Slots && slow {
+	if reported > t.Slots {
 		t.Limit.Queued(now)
 		return
 	}
@@ -248,18 +238,6 @@
 	}
 }
 
-// slowForItself reports whether a reply took longer than the target's quick
-// ones. What a target reports of its load counts only together with this: a
-// report alone can mislead.
-func (t *Target) slowForItself(took time.Duration) bool {
-	if t.quick == 0 || took < t.quick {
-		t.quick = took
-	} else {
-		t.quick += time.Duration(quickWeight * float64(took-t.quick))
-	}
-	return took > queueFactor*t.quick
-}
-
 func (t *Target) observe(latency time.Duration) {
 	if t.latency == 0 {
 		t.latency = latency
