The breaker for submits moves into the reducer

Cause: the architecture test refused the driver's import of entry/limit, and it was right: whether a submit is refused is a decision, and decisions are the reducer's. Ruled out: allowing the import in the table. Change: the reducer holds the breaker; a claim that isn't decided opens it, but for one that its caller's short deadline ended. Before: make test fails in internal/tools/architecture. After: it passes.

--- a/internal/entry/driver/ledger.go
+++ b/internal/entry/driver/ledger.go
@@ -10,7 +10,6 @@
 
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/entry"
-	"wigeonbay/internal/entry/limit"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/wire"
 )
@@ -38,7 +37,6 @@
 
 	mu       sync.Mutex
 	favoured int
-	breaker  limit.Breaker
 }
 
 func newLedgerClient(config *settings.Entry, client *wire.Client) *ledgerClient {
@@ -74,31 +72,19 @@
 }
 
 // claim asks the control processes for a decision until the deadline. Without
-// one the result says whether the claim may still take effect. While earlier
-// claims have failed, one at a time is tried and the others are refused at
-// once.
+// one the result says whether the claim may still take effect.
 func (l *ledgerClient) claim(ctx context.Context, e entry.ClaimKey) (controlrpc.Result, controlrpc.ClaimReply) {
-	if !l.allow() {
-		return controlrpc.Result{Code: controlrpc.CodeNoQuorum, NotApplied: true}, controlrpc.ClaimReply{}
-	}
-	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, e.Deadline)
 	defer cancel()
 	certain := true
 	for range len(l.controls) {
 		reply, err := l.claimOnce(ctx, e)
 		if err == nil && reply.Result.Code == controlrpc.CodeOK {
-			l.done(limit.CallSucceeded)
 			return reply.Result, reply
 		}
 		certain = certain && provedUnapplied(err, reply.Result)
 		l.moveOn()
 	}
-	if ctx.Err() != nil && time.Since(started) < ledgerCallTimeout {
-		l.done(limit.CallGivenUp)
-	} else {
-		l.done(limit.CallFailed)
-	}
 	return controlrpc.Result{Code: controlrpc.CodeNoQuorum, NotApplied: certain}, controlrpc.ClaimReply{}
 }
 
@@ -119,18 +105,6 @@
 	return reply, err
 }
 
-func (l *ledgerClient) allow() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.breaker.Allow()
-}
-
-func (l *ledgerClient) done(end limit.CallEnd) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.breaker.Done(end)
-}
-
 // provedUnapplied reports whether a failed call certainly has no effect.
 func provedUnapplied(err error, result controlrpc.Result) bool {
 	if err != nil {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -31,6 +31,8 @@
 	searches map[QueryID]*search
 	submits  map[QueryID]*submit
 	attempts map[AttemptID]*attempt
+	// claims refuses submits at once while the ledger has no quorum.
+	claims limit.Breaker
 
 	lastAttempt AttemptID
 	effects     []Effect
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -6,12 +6,16 @@
 
 	"wigeonbay/internal/api"
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/entry/limit"
 	"wigeonbay/internal/entry/route"
 )
 
 const (
 	// noQuorumRetry is when to come back while no control quorum answers.
 	noQuorumRetry = time.Second
+	// claimTimeout is the time after which a claim without a decision has failed
+	// for want of a quorum, and not for its caller's short deadline.
+	claimTimeout = 500 * time.Millisecond
 	// heldRetry is when to come back for the outcome of a request that another
 	// node may be running.
 	heldRetry = time.Second
@@ -41,6 +45,7 @@
 	tried    map[api.TargetID]bool
 	attempt  *attempt
 	outcome  controlrpc.Outcome
+	since    time.Time
 	deadline time.Time
 }
 
@@ -52,11 +57,14 @@
 	if problem == nil {
 		problem = s.admitSubmit(svc, ev)
 	}
+	if problem == nil && !s.claims.Allow() {
+		problem = noQuorum(ev.Seed)
+	}
 	if problem != nil {
 		s.refuse(ev.Query, problem)
 		return
 	}
-	sub := &submit{arrived: ev, service: svc, deadline: ev.Deadline, tried: map[api.TargetID]bool{}}
+	sub := &submit{arrived: ev, service: svc, since: s.now, deadline: ev.Deadline, tried: map[api.TargetID]bool{}}
 	s.submits[ev.Query] = sub
 	s.emit(ClaimKey{
 		Query:       ev.Query,
@@ -89,9 +97,11 @@
 		return
 	}
 	if ev.Result.Code != controlrpc.CodeOK {
+		s.claims.Done(s.claimEnd(sub))
 		s.claimInDoubt(sub, ev.Result)
 		return
 	}
+	s.claims.Done(limit.CallSucceeded)
 	switch ev.Verdict {
 	case controlrpc.ClaimGranted:
 		sub.phase = submitWaiting
@@ -111,9 +121,23 @@
 	if !result.NotApplied {
 		s.record(sub, controlrpc.ClaimNotRun, controlrpc.Outcome{})
 	}
+	s.endSubmit(sub, noQuorum(sub.arrived.Seed))
+}
+
+func noQuorum(seed uint64) *api.Problem {
 	p := api.NewProblem(http.StatusServiceUnavailable, api.CodeNoQuorum, api.RanNo,
-		"no quorum of control processes confirmed the claim")
-	s.endSubmit(sub, p.RetryAfter(spread(noQuorumRetry, sub.arrived.Seed)))
+		"no quorum of control processes confirms claims")
+	return p.RetryAfter(spread(noQuorumRetry, seed))
+}
+
+// claimEnd judges a claim that wasn't decided: it says nothing of the quorum if
+// its caller's short deadline ended it.
+func (s *State) claimEnd(sub *submit) limit.CallEnd {
+	expired := !s.now.Before(sub.deadline.Add(-answerMargin))
+	if expired && s.now.Sub(sub.since) < claimTimeout {
+		return limit.CallGivenUp
+	}
+	return limit.CallFailed
 }
 
 func verdictProblem(v controlrpc.ClaimVerdict, seed uint64) *api.Problem {
@@ -226,6 +250,7 @@
 func (s *State) expireSubmit(sub *submit) {
 	switch sub.phase {
 	case submitClaiming:
+		s.claims.Done(s.claimEnd(sub))
 		s.claimInDoubt(sub, controlrpc.Result{Code: controlrpc.CodeNoQuorum})
 	case submitWaiting:
 		s.endNotRun(sub, api.CodeDeadlineExceeded, http.StatusGatewayTimeout, "the deadline passed before it was sent")
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -143,3 +143,38 @@
 	assert.Assert(t, got.Replayed)
 	assert.Equal(t, got.Outcome, outcome)
 }
+
+// While a trial is under way other submits are refused without a claim, so that
+// their refusal doesn't wait for a deadline; a trial that succeeds ends that.
+//
+// fault: cut of one data centre x submit
+func TestSubmitsAreRefusedAtOnceWithoutAQuorum(t *testing.T) {
+	h, id := submitHarness(t)
+	h.pass(time.Second)
+	assert.Equal(t, only[Refuse](t, h.do(TimerFired{Query: id})).Problem.Code, api.CodeNoQuorum)
+	trial, effects := h.submit()
+	only[ClaimKey](t, effects)
+	for range 5 {
+		_, effects = h.submit()
+		assert.Equal(t, len(all[ClaimKey](effects)), 0)
+		p := only[Refuse](t, effects).Problem
+		assert.Equal(t, p.Code, api.CodeNoQuorum)
+		assert.Equal(t, p.Ran, api.RanNo)
+		assert.Assert(t, p.RetryAfterMS > 0)
+	}
+	only[SendSubmit](t, h.do(granted(trial)))
+	_, effects = h.submit()
+	only[ClaimKey](t, effects)
+}
+
+func TestShortDeadlineSaysNothingOfTheQuorum(t *testing.T) {
+	h, _ := submitHarness(t)
+	h.last++
+	h.do(SubmitArrived{Query: h.last, Service: "lots", Key: "1-b", Deadline: h.now.Add(20 * time.Millisecond)})
+	h.pass(20 * time.Millisecond)
+	only[Refuse](t, h.do(TimerFired{Query: h.last}))
+	for range 2 {
+		_, effects := h.submit()
+		only[ClaimKey](t, effects)
+	}
+}
