Replace silent connections before hedges are planned

Cause: found reading the code. A search with a late request and a silent connection at the same moment planned a hedge, then sent the silent connection's shard anew in the middle of that; if its replica was full, the shard joined the planned hedge by a position in another list: index out of range, and the node stopped. It also went on hedging a search that the replacement had ended. Ruled out: a plan kept per list (two plans for one target would each take the last place). Change: silent connections are replaced first, then hedges are planned. Before: TestSilentConnectionBesideALateRequest panics. TestFailureDuringABackoffIsTriedAgain came with it; it found no fault.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"wigeonbay/internal/api"
@@ -60,21 +61,24 @@
 	}
 }
 
-// hedge looks after the search's late requests: one on a silent connection is
-// replaced, others get a second replica within the extra-load budget.
+// hedge looks after the search's late requests: those on silent connections are
+// replaced, then the others get a second replica within the extra-load budget.
 func (s *State) hedge(q *search) {
 	delay := s.hedgeDelay(q)
 	q.hedgeAt = s.now.Add(delay)
-	var requests []sending
-	for _, a := range append([]*attempt(nil), q.outstanding...) {
-		if s.now.Sub(a.started) < delay {
-			continue
-		}
+	for _, a := range slices.Clone(q.outstanding) {
 		if a.target.SilentConnection(uint64(a.id), s.now) {
 			s.replaceConnection(q, a)
-			continue
 		}
-		requests = s.planHedge(q, a, requests)
+	}
+	if q.done {
+		return
+	}
+	var requests []sending
+	for _, a := range q.outstanding {
+		if s.now.Sub(a.started) >= delay {
+			requests = s.planHedge(q, a, requests)
+		}
 	}
 	s.endPlan(requests)
 	for _, r := range requests {
@@ -123,6 +127,9 @@
 	s.emit(Note{Kind: NoteSilentConnection, Target: a.target.ID()})
 	a.target.Released(uint64(a.id))
 	delete(s.attempts, a.id)
+	if q.done {
+		return
+	}
 	q.forget(a)
 	for _, g := range a.groups {
 		state := &q.groups[g]
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -295,3 +295,58 @@
 	assert.Assert(t, only[SendShards](t, effects).Extra)
 	assert.Equal(t, h.state.Counters().ExtraRequests, uint64(1))
 }
+
+// A search with a late request and a silent connection at the same time must
+// plan the one after the other: a plan for a hedge is no place for the silent
+// connection's shard to join.
+//
+// fault: two at once x search
+func TestSilentConnectionBesideALateRequest(t *testing.T) {
+	h := newHarness(t, api.Service{ExtraLoadPercent: 100})
+	h.announceShards("a", api.TargetReady, []api.ShardID{0}, first)
+	h.announceShards("b", api.TargetReady, []api.ShardID{1}, first)
+	h.announceShards("c", api.TargetReady, []api.ShardID{0, 1}, first)
+	for range 40 {
+		_, effects := h.search()
+		h.pass(2 * time.Millisecond)
+		for _, e := range all[SendShards](effects) {
+			h.reply(e)
+		}
+	}
+	id, effects := h.search()
+	sent := all[SendShards](effects)
+	assert.Equal(t, len(sent), 2)
+	silent := h.state.targets[sent[1].Target]
+	silent.Sent(1_000_001, h.now.Add(time.Microsecond), 1)
+	silent.Sent(1_000_002, h.now.Add(time.Microsecond), 1)
+	silent.Replied(1_000_001, h.now.Add(time.Millisecond), 1)
+	silent.Replied(1_000_002, h.now.Add(time.Millisecond), 1)
+	silent.Sent(1_000_003, h.now.Add(time.Millisecond), 1)
+	silent.Limit.Restart()
+	h.state.targets["c"].Limit.Restart()
+	h.pass(100 * time.Millisecond)
+	effects = h.do(TimerFired{Query: id})
+	assert.Equal(t, only[CancelAttempt](t, effects).Attempt, sent[1].Attempt)
+	assert.Assert(t, len(all[SendShards](effects)) > 0)
+}
+
+// fault: two at once x search
+func TestFailureDuringABackoffIsTriedAgain(t *testing.T) {
+	h := newHarness(t, api.Service{Prefer: api.PreferCoverage})
+	h.announceShards("a", api.TargetReady, []api.ShardID{0}, first)
+	h.announceShards("b", api.TargetReady, []api.ShardID{1}, first)
+	id, effects := h.search()
+	sent := all[SendShards](effects)
+	shed := AttemptFailed{Kind: FailureRefused, Code: api.TargetShed, NotRun: true}
+	for _, e := range sent {
+		shed.Attempt = e.Attempt
+		effects = h.do(shed)
+		assert.Equal(t, len(all[SendShards](effects)), 0, "a pause before the same replica is asked again")
+	}
+	var again []SendShards
+	for range 3 {
+		h.pass(50 * time.Millisecond)
+		again = append(again, all[SendShards](h.do(TimerFired{Query: id}))...)
+	}
+	assert.Equal(t, len(again), 2)
+}
