A target set aside is logged once

Cause: found reading the code: whenever one target was set aside, every target set aside already was logged again. Change: Eject returns those that it has just set aside.

--- a/internal/entry/route/outlier.go
+++ b/internal/entry/route/outlier.go
@@ -27,20 +27,20 @@
 	trialsToReturn = 3
 )
 
-// Eject sets aside targets whose latency is far above the median of their
-// peers. It reports whether anything changed.
-func Eject(targets []*Target, now time.Time) bool {
+// Eject sets aside targets whose latency is far above the median of their peers
+// and returns those that it has just set aside.
+func Eject(targets []*Target, now time.Time) []*Target {
 	median := medianLatency(targets)
 	if median == 0 {
-		return false
+		return nil
 	}
 	threshold := max(outlierFloor, time.Duration(outlierFactor*float64(median)))
-	ejected := countEjected(targets)
 	most := int(maxEjectedFraction*float64(len(targets)) + 0.5)
-	changed := false
+	room := most - countEjected(targets)
+	var ejected []*Target
 	for _, t := range targets {
-		if ejected >= most {
-			return changed
+		if len(ejected) >= room {
+			break
 		}
 		if t.ejected || t.replies < minReplies || max(t.latency, t.Age(now)) <= threshold {
 			continue
@@ -48,10 +48,9 @@
 		t.ejected = true
 		t.goodTrials = 0
 		t.nextTrial = now.Add(trialInterval)
-		ejected++
-		changed = true
+		ejected = append(ejected, t)
 	}
-	return changed
+	return ejected
 }
 
 // DueTrial returns an ejected or suspect target that is due for a trial, or
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -213,12 +213,10 @@
 }
 
 func (s *State) ejectOutliers(svc *service) {
-	if s.baseline() || !route.Eject(svc.targets, s.now) {
+	if s.baseline() {
 		return
 	}
-	for _, t := range svc.targets {
-		if t.Ejected() {
-			s.emit(Note{Kind: NoteEjected, Target: t.ID()})
-		}
+	for _, t := range route.Eject(svc.targets, s.now) {
+		s.emit(Note{Kind: NoteEjected, Target: t.ID()})
 	}
 }
