Late requests are sent anew once idle connections are found silent

Ruled out: a shorter time-out for each request (it would cut slow work off); hedges beyond the budget (extra load where nothing is wrong). Change: a request older than twice the hedge delay has its target's idle connections tried, once; if some are silent, the late requests to that target are sent anew without blame. The pool's check says how many were silent; a ping waits 200 ms instead of 300. TestLateRequestIsReplacedOnceIdleConnectionsAreSilent doesn't compile before.

--- a/internal/entry/driver/effects.go
+++ b/internal/entry/driver/effects.go
@@ -36,7 +36,7 @@
 	case entry.CancelAttempt:
 		n.cancelAttempt(e.Attempt)
 	case entry.CheckConnections:
-		go n.pool.Check(e.Target)
+		go n.checkConnections(e.Target)
 	case entry.SetTimer:
 		n.setTimer(e)
 	case entry.AnswerSearch:
@@ -66,6 +66,14 @@
 	}
 }
 
+// checkConnections tries the idle connections to a target and tells the reducer
+// if some were silent.
+func (n *Node) checkConnections(target api.TargetID) {
+	if silent := n.pool.Check(target); silent > 0 {
+		n.step(entry.ConnectionsChecked{Target: target, Silent: silent})
+	}
+}
+
 // waiter is a caller's request that waits for its answer.
 type waiter struct {
 	ctx    context.Context
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -91,6 +91,13 @@
 	Header TargetHeader
 }
 
+// ConnectionsChecked tells that idle connections to a target were found silent
+// and have been replaced.
+type ConnectionsChecked struct {
+	Target api.TargetID
+	Silent int
+}
+
 // SubmitArrived is a caller's non-idempotent request.
 type SubmitArrived struct {
 	Query       QueryID
@@ -130,16 +137,17 @@
 // Tick drives what happens at regular times.
 type Tick struct{}
 
-func (ConfigInstalled) event() {}
-func (MembersChanged) event()  {}
-func (TargetChanged) event()   {}
-func (SearchArrived) event()   {}
-func (SearchCancelled) event() {}
-func (TimerFired) event()      {}
-func (ShardsReplied) event()   {}
-func (AttemptFailed) event()   {}
-func (SubmitArrived) event()   {}
-func (ClaimDecided) event()    {}
-func (SubmitReplied) event()   {}
-func (OutcomeRecorded) event() {}
-func (Tick) event()            {}
+func (ConfigInstalled) event()    {}
+func (MembersChanged) event()     {}
+func (TargetChanged) event()      {}
+func (SearchArrived) event()      {}
+func (SearchCancelled) event()    {}
+func (TimerFired) event()         {}
+func (ShardsReplied) event()      {}
+func (AttemptFailed) event()      {}
+func (ConnectionsChecked) event() {}
+func (SubmitArrived) event()      {}
+func (ClaimDecided) event()       {}
+func (SubmitReplied) event()      {}
+func (OutcomeRecorded) event()    {}
+func (Tick) event()               {}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 	// service's reply times after which a request is hedged.
 	minHedgeQuantile = 0.90
 	maxHedgeQuantile = 0.99
+	// checkFactor times the hedge delay is the age from which a request makes
+	// its target's idle connections be tried: if these are silent, so may be the
+	// request's own.
+	checkFactor = 2
 	// blindHedgeFraction of the time left is the delay while the service's
 	// reply times aren't known.
 	blindHedgeFraction = 4
@@ -79,6 +84,7 @@
 		if s.now.Sub(a.started) >= delay {
 			requests = s.planHedge(q, a, requests)
 		}
+		s.checkLate(a, delay)
 	}
 	s.endPlan(requests)
 	for _, r := range requests {
@@ -87,6 +93,52 @@
 	}
 }
 
+// checkLate has the idle connections of a very late request's target tried,
+// once for each request. It costs the target nothing that it would count as
+// work.
+func (s *State) checkLate(a *attempt, delay time.Duration) {
+	if a.checked || s.now.Sub(a.started) < checkFactor*delay {
+		return
+	}
+	a.checked = true
+	s.emit(CheckConnections{Target: a.target.ID()})
+}
+
+// replaceSilent sends the late requests to a target anew after idle connections
+// to it were found silent: their own connections have most likely been
+// forgotten by the same thing between the two ends.
+func (s *State) replaceSilent(ev ConnectionsChecked) {
+	t := s.targets[ev.Target]
+	if t == nil {
+		return
+	}
+	for _, q := range s.lateSearches(t) {
+		for _, a := range slices.Clone(q.outstanding) {
+			if a.target == t && s.isLate(a) {
+				s.replaceConnection(q, a)
+			}
+		}
+		s.setTimer(q)
+	}
+}
+
+// lateSearches returns the searches with a late request to a target, in the
+// order of their arrival.
+func (s *State) lateSearches(t *route.Target) []*search {
+	var late []*search
+	for _, a := range s.attempts {
+		if a.target == t && a.search != nil && s.isLate(a) && !slices.Contains(late, a.search) {
+			late = append(late, a.search)
+		}
+	}
+	slices.SortFunc(late, func(x, y *search) int { return cmp.Compare(x.id, y.id) })
+	return late
+}
+
+func (s *State) isLate(a *attempt) bool {
+	return a.search != nil && s.now.Sub(a.started) >= checkFactor*s.hedgeDelay(a.search)
+}
+
 // planHedge chooses second replicas for a's unanswered groups. The budget is
 // closed while searches wait for room: then extra work would only add to the
 // overload.
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -20,7 +20,7 @@
 	pingAfter = 2 * time.Second
 	// pingTimeout is the time after which a checked connection without a reply
 	// counts as silent.
-	pingTimeout = 300 * time.Millisecond
+	pingTimeout = 200 * time.Millisecond
 	// checkInterval is the time between two rounds of checks.
 	checkInterval = 500 * time.Millisecond
 )
@@ -114,11 +114,14 @@
 	}
 }
 
-// Check tries the idle connections to a target now and replaces silent ones.
-func (p *Pool) Check(id api.TargetID) {
-	if t := p.find(id); t != nil {
-		t.check(0)
+// Check tries the idle connections to a target now, replaces the silent ones and
+// returns their number.
+func (p *Pool) Check(id api.TargetID) int {
+	t := p.find(id)
+	if t == nil {
+		return 0
 	}
+	return t.check(0)
 }
 
 // Open returns the number of open connections to a target.
@@ -185,7 +188,7 @@
 			return
 		case <-ticker.C:
 			for _, t := range p.all() {
-				t.check(pingAfter)
+				p.running.Go(func() { t.check(pingAfter) })
 			}
 		}
 	}
--- a/internal/entry/pool/pool_test.go
+++ b/internal/entry/pool/pool_test.go
@@ -105,8 +105,10 @@
 	p := newPool(t, d.dial)
 	p.Configure("a", newServer(t, echo), 4, 2)
 	awaitIdle(t, p, 2)
+	assert.Equal(t, p.Check("a"), 0)
+	awaitIdle(t, p, 2)
 	d.silence()
-	p.Check("a")
+	assert.Equal(t, p.Check("a"), 2)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -138,10 +139,29 @@
 	t.signalLocked()
 }
 
-// check pings the connections that have been idle for at least age, and
-// replaces the silent ones.
-func (t *target) check(age time.Duration) {
+// check pings the connections that have been idle for at least age, replaces the
+// silent ones and returns their number.
+func (t *target) check(age time.Duration) int {
+	var silent atomic.Int64
+	var pings sync.WaitGroup
+	for _, c := range t.takeIdle(age) {
+		pings.Go(func() {
+			if t.ping(c) == nil {
+				t.release(c, true)
+				return
+			}
+			silent.Add(1)
+			t.replace(c)
+		})
+	}
+	pings.Wait()
+	return int(silent.Load())
+}
+
+// takeIdle takes the connections that have been idle for at least age.
+func (t *target) takeIdle(age time.Duration) []*conn {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	var due, rest []*conn
 	for _, c := range t.idle {
 		if time.Since(c.lastUsed) >= age {
@@ -151,22 +171,17 @@
 		}
 	}
 	t.idle = rest
-	t.mu.Unlock()
-	for _, c := range due {
-		go t.checkOne(c)
-	}
+	return due
 }
 
-func (t *target) checkOne(c *conn) {
-	if t.ping(c) == nil {
-		t.release(c, true)
-		return
-	}
+// replace closes a connection and opens another in its place, without waiting
+// for it.
+func (t *target) replace(c *conn) {
 	t.mu.Lock()
 	t.closeLocked(c)
 	wanted := t.opened + 1
 	t.mu.Unlock()
-	t.open(wanted)
+	go t.open(wanted)
 }
 
 // ping asks the target's health endpoint over one connection, as proof that
--- a/internal/entry/reduce.go
+++ b/internal/entry/reduce.go
@@ -28,6 +28,8 @@
 		s.takeReply(ev)
 	case AttemptFailed:
 		s.failAttempt(ev)
+	case ConnectionsChecked:
+		s.replaceSilent(ev)
 	case SubmitArrived:
 		s.arriveSubmit(ev)
 	case ClaimDecided:
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -350,3 +350,29 @@
 	}
 	assert.Equal(t, len(again), 2)
 }
+
+// All connections to a target are silent, so no later request overtakes the
+// stuck one; the idle ones, found silent, are the evidence.
+//
+// fault: silent connection x search
+func TestLateRequestIsReplacedOnceIdleConnectionsAreSilent(t *testing.T) {
+	h := newHarness(t, api.Service{})
+	h.announce("a", api.TargetReady, first)
+	for range 40 {
+		_, effects := h.search()
+		h.pass(2 * time.Millisecond)
+		h.reply(only[SendShards](t, effects))
+	}
+	id, effects := h.search()
+	stuck := only[SendShards](t, effects)
+	h.pass(10 * time.Millisecond)
+	effects = h.do(TimerFired{Query: id})
+	assert.Equal(t, only[CheckConnections](t, effects).Target, stuck.Target)
+	h.pass(10 * time.Millisecond)
+	assert.Equal(t, len(all[CheckConnections](h.do(TimerFired{Query: id}))), 0, "once for each request")
+	effects = h.do(ConnectionsChecked{Target: stuck.Target, Silent: 2})
+	assert.Equal(t, only[CancelAttempt](t, effects).Attempt, stuck.Attempt)
+	again := only[SendShards](t, effects)
+	assert.Assert(t, only[AnswerSearch](t, h.reply(again)).Coverage.Whole())
+	assert.Assert(t, h.state.targets["a"].Reachable())
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -129,6 +129,9 @@
 	shards   int
 	started  time.Time
 	trial    bool
+	// checked tells that the connections to the target were asked to be tried
+	// because of this attempt.
+	checked bool
 }
 
 // New returns the state of a node that has neither configuration nor targets.
