--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -66,7 +66,6 @@
 	assert.Equal(t, only[DiscardReply](t, effects).Attempt, late.Attempt)
 }
 
-// fault: restart after hundreds of changes x search
 func TestVanishedSnapshotRestartsWhole(t *testing.T) {
 	h := newHarness(t, api.Service{})
 	h.announceShards("a", api.TargetReady, []api.ShardID{0}, first)
@@ -128,7 +127,6 @@
 	assert.Equal(t, got.Coverage.Fraction, 0.5)
 }
 
-// fault: kill x drain
 func TestDrainLearnedFromReplyStopsNewWork(t *testing.T) {
 	h := newHarness(t, api.Service{})
 	h.announce("a", api.TargetReady, first)
@@ -195,7 +193,6 @@
 	assert.Assert(t, h.state.targets["a"].Reachable())
 }
 
-// fault: restart after hundreds of changes x ticket
 func TestConfigurationNeverReverts(t *testing.T) {
 	h := newHarness(t, api.Service{})
 	h.do(ConfigInstalled{Config: api.Configuration{Version: 9}})
@@ -283,7 +280,6 @@
 	}
 }
 
-// fault: kill x drain
 func TestRetriesAreExtraRequests(t *testing.T) {
 	h := newHarness(t, api.Service{})
 	h.announce("a", api.TargetReady, first)
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -126,7 +126,6 @@
 	assert.Equal(t, h.state.InProgress(), 0)
 }
 
-// fault: lost disk x submit
 func TestUnrecordedOutcomeIsStillAnswered(t *testing.T) {
 	h, id := submitHarness(t)
 	sent := only[SendSubmit](t, h.do(granted(id)))
