--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -29,7 +29,7 @@
 	app := fx.New(
 		fx.Supply(config),
 		fx.Provide(newLogger, newSecurity, newNode, newOperators),
-		fx.Invoke(startTracing, func(*driver.Node, *http.Server) {}),
+		fx.Invoke(startTracing, func(*driver.Node, *http.Server) {}, serveTargets),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 	if err := app.Start(ctx); err != nil {
--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -1,10 +1,10 @@
 // Command wigeon-entry runs one entry node: it takes callers' requests and
-// targets' announcements on an entry VM.
+// targets' announcements on an entry VM, and forwards requests by the routing
+// table.
 package main
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"go.uber.org/fx"
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/cli"
-	"wigeonbay/internal/entry/driver"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 )
@@ -23,25 +22,37 @@
 	stopTimeout = time.Minute
 )
 
+// reloads carries settings that were read again after a SIGHUP.
+type reloads chan *settings.Entry
+
 func main() {
+	changed := make(reloads)
 	daemon := cli.Daemon[*settings.Entry]{
-		Name:  process,
-		Usage: "serve callers and targets on an entry VM",
-		Load:  settings.LoadEntry,
-		Run:   run,
+		Name:    process,
+		Usage:   "serve callers and targets on an entry VM",
+		Load:    settings.LoadEntry,
+		Run:     func(ctx context.Context, config *settings.Entry) error { return run(ctx, config, changed) },
+		Reloads: changed,
 	}
 	cli.Main(daemon.Command())
 }
 
 // run serves until ctx ends, then shuts down without cutting off a request.
-func run(ctx context.Context, config *settings.Entry) error {
-	app := fx.New(
+func run(ctx context.Context, config *settings.Entry, changed reloads) error {
+	parts := []fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(config),
-		fx.Provide(newLogger, driver.New),
-		fx.Invoke(startTracing, register),
-	)
+		fx.Supply(config, changed),
+		fx.Provide(newLogger),
+		fx.Invoke(startTracing),
+	}
+	if config.Listen.Callers != "" {
+		parts = append(parts, searching)
+	}
+	if config.Listen.Forward != "" {
+		parts = append(parts, forwarding)
+	}
+	app := fx.New(parts...)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
@@ -60,7 +71,8 @@
 	return logger, nil
 }
 
-// startTracing comes before the node in the lifecycle, so that it ends after it.
+// startTracing comes before the nodes in the lifecycle, so that it ends after
+// them.
 func startTracing(lifecycle fx.Lifecycle, config *settings.Entry) error {
 	stop, err := telemetry.StartTracing(process, config.Node.ID, config.Node.DataCentre, config.Telemetry.TraceFile)
 	if err != nil {
@@ -69,14 +81,3 @@
 	lifecycle.Append(fx.Hook{OnStop: stop})
 	return nil
 }
-
-func register(lifecycle fx.Lifecycle, node *driver.Node) {
-	lifecycle.Append(fx.Hook{OnStart: node.Start, OnStop: node.Stop})
-	lifecycle.Append(fx.StartHook(func() { publish(node) }))
-}
-
-// publish adds the started node's counters to /debug/vars.
-func publish(node *driver.Node) {
-	expvar.Publish("entry", expvar.Func(func() any { return node.Counters() }))
-	expvar.Publish("membership", expvar.Func(func() any { return node.PeerCounters() }))
-}
--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -58,6 +58,9 @@
 	// LeaseMS is the time in milliseconds after which the target counts as
 	// gone unless it renews.
 	LeaseMS int64 `json:"lease_ms"`
+	// WarmupMS is how much longer a warming target expects to be slow, in
+	// milliseconds; 0 when it doesn't say.
+	WarmupMS int64 `json:"warmup_ms,omitempty"`
 }
 
 // Supersedes reports whether a carries newer news of its target than b.
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	urfave "github.com/urfave/cli/v3"
 )
@@ -15,6 +18,9 @@
 	Load func(path string) (S, error)
 	// Run serves until ctx ends, then shuts down gracefully and returns.
 	Run func(ctx context.Context, settings S) error
+	// Reloads, if set, receives the settings anew after each SIGHUP. Settings
+	// that can't be used are reported and left aside.
+	Reloads chan S
 }
 
 // Command returns the daemon's command. It takes --config FILE, and the
@@ -42,9 +48,49 @@
 	if err != nil {
 		return err
 	}
+	stop := d.watchReloads(ctx, command)
+	defer stop()
 	return d.Run(ctx, settings)
 }
 
+// watchReloads reads the settings again with each SIGHUP, which would else end
+// the process.
+func (d Daemon[S]) watchReloads(ctx context.Context, command *urfave.Command) func() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				d.reload(ctx, command)
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		cancel()
+	}
+}
+
+func (d Daemon[S]) reload(ctx context.Context, command *urfave.Command) {
+	if d.Reloads == nil {
+		return
+	}
+	settings, err := d.load(command)
+	if err != nil {
+		// Nothing better can be done when the error stream is closed.
+		_, _ = fmt.Fprintf(command.Root().ErrWriter, "%s: settings not reloaded: %v\n", d.Name, err)
+		return
+	}
+	select {
+	case d.Reloads <- settings:
+	case <-ctx.Done():
+	}
+}
+
 func (d Daemon[S]) check(_ context.Context, command *urfave.Command) error {
 	if _, err := d.load(command); err != nil {
 		return err
--- /dev/null
+++ b/internal/clusterconfig/routing.go
@@ -0,0 +1,93 @@
+package clusterconfig
+
+import (
+	"fmt"
+	"strings"
+
+	"wigeonbay/internal/api"
+)
+
+// CheckRoutingTable reports the first thing wrong with a routing table. Every
+// error wraps ErrInvalid.
+func CheckRoutingTable(t *api.RoutingTable) error {
+	if t.Version == 0 {
+		return fmt.Errorf("%w: the routing table has no version", ErrInvalid)
+	}
+	pools := make(map[string]bool, len(t.Pools))
+	for _, p := range t.Pools {
+		switch {
+		case p.Name == "":
+			return fmt.Errorf("%w: a pool has no name", ErrInvalid)
+		case pools[p.Name]:
+			return fmt.Errorf("%w: pool %q is given twice", ErrInvalid, p.Name)
+		case p.MaxConnections < 0:
+			return fmt.Errorf("%w: pool %q allows %d connections", ErrInvalid, p.Name, p.MaxConnections)
+		}
+		pools[p.Name] = true
+	}
+	places := make(map[string]string, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := checkRoute(r, pools); err != nil {
+			return err
+		}
+		place := r.Host + r.Prefix
+		if other, taken := places[place]; taken {
+			return fmt.Errorf("%w: routes %q and %q have the same host and prefix", ErrInvalid, other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func checkRoute(r *api.Route, pools map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return fmt.Errorf("%w: route %q has no host", ErrInvalid, r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("%w: route %q: prefix %q must begin and end with a slash", ErrInvalid, r.Name, r.Prefix)
+	case r.Timeout <= 0:
+		return fmt.Errorf("%w: route %q has a timeout of %v", ErrInvalid, r.Name, r.Timeout)
+	case r.Attempts < 0:
+		return fmt.Errorf("%w: route %q allows %d attempts", ErrInvalid, r.Name, r.Attempts)
+	case r.IsGather():
+		return checkGather(r, pools)
+	}
+	total := 0.0
+	for _, part := range r.Split {
+		if !pools[part.Pool] {
+			return fmt.Errorf("%w: route %q names an unknown pool %q", ErrInvalid, r.Name, part.Pool)
+		}
+		if part.Weight < 0 {
+			return fmt.Errorf("%w: route %q gives pool %q the weight %g", ErrInvalid, r.Name, part.Pool, part.Weight)
+		}
+		total += part.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("%w: the weights of route %q add up to 0", ErrInvalid, r.Name)
+	}
+	return nil
+}
+
+func checkGather(r *api.Route, pools map[string]bool) error {
+	if len(r.Split) > 0 {
+		return fmt.Errorf("%w: route %q has both a gather and a split", ErrInvalid, r.Name)
+	}
+	seen := make(map[string]bool, len(r.Gather))
+	for _, name := range r.Gather {
+		if !pools[name] {
+			return fmt.Errorf("%w: route %q names an unknown pool %q", ErrInvalid, r.Name, name)
+		}
+		if seen[name] {
+			return fmt.Errorf("%w: route %q gathers pool %q twice", ErrInvalid, r.Name, name)
+		}
+		seen[name] = true
+	}
+	if r.LeastCoverage < 0 || r.LeastCoverage > 1 {
+		return fmt.Errorf("%w: route %q: least coverage %g is not from 0 to 1", ErrInvalid, r.Name, r.LeastCoverage)
+	}
+	if r.TopK < 0 {
+		return fmt.Errorf("%w: route %q returns %d records", ErrInvalid, r.Name, r.TopK)
+	}
+	return nil
+}
--- a/internal/control/driver/apply.go
+++ b/internal/control/driver/apply.go
@@ -93,13 +93,13 @@
 // them.
 func (a *applier) apply(entries []replica.Entry) {
 	n := a.node
-	before := n.version()
+	before, tableBefore := n.version(), n.table().Version
 	n.machineMu.Lock()
 	for _, entry := range entries {
 		a.applyEntry(entry)
 	}
 	n.machineMu.Unlock()
-	if n.version() != before {
+	if n.version() != before || n.table().Version != tableBefore {
 		n.applied.signal()
 	}
 	a.maybeSnapshot()
--- a/internal/control/driver/commands.go
+++ b/internal/control/driver/commands.go
@@ -48,3 +48,12 @@
 	_, outcome := n.propose(ctx, machine.Command{Kind: machine.KindRecord, Record: &record})
 	return controlrpc.RecordReply{Result: outcome}
 }
+
+func (n *Node) replaceTableHere(ctx context.Context, args *controlrpc.ReplaceTableArgs) controlrpc.ReplaceTableReply {
+	refused, ok := n.check(func(m *machine.Machine) error { return m.CheckTable(args.Document) })
+	if !ok {
+		return controlrpc.ReplaceTableReply{Result: refused}
+	}
+	result, outcome := n.propose(ctx, machine.Command{Kind: machine.KindTable, Table: &args.Document})
+	return controlrpc.ReplaceTableReply{Result: outcome, Version: result.TableVersion}
+}
--- a/internal/control/driver/found.go
+++ b/internal/control/driver/found.go
@@ -14,8 +14,7 @@
 // mayFound reports whether this replica takes part in founding the group: it
 // holds nothing and its settings name it as one of the first members.
 func (n *Node) mayFound() bool {
-	_, named := selfMember(n.set)
-	return named && !n.set.Join && n.state.LastIndex() == 0
+	return n.isFirstMember() && !n.set.Join && n.state.LastIndex() == 0
 }
 
 // foundGroup asks the other first members who they are until the group exists.
@@ -47,7 +46,7 @@
 	}
 	members := replica.Membership{Group: newUnique()}
 	first := true
-	for _, peer := range n.set.Members {
+	for _, peer := range n.firstMembers() {
 		hello, ok := n.greet(peer)
 		switch {
 		case !ok:
@@ -55,14 +54,14 @@
 		case hello.Founded:
 			// The replica may be one of the first members that the leader has
 			// not reached yet, or one whose disk was lost.
-			telemetry.ControlGroupExists.Log(n.logger, zap.String("member", peer.ID))
+			telemetry.ControlGroupExists.Log(n.logger, zap.String("member", peer.Address))
 			return true
 		}
-		first = first && n.self.ID <= peer.ID
+		first = first && n.self.ID <= hello.Identity.ID
 		members.Members = append(members.Members, replica.Member{
 			Identity:   hello.Identity,
 			Address:    peer.Address,
-			DataCentre: peer.DataCentre,
+			DataCentre: hello.DataCentre,
 			Voter:      true,
 		})
 	}
@@ -75,12 +74,34 @@
 
 // greet asks a first member who it is.
 func (n *Node) greet(peer settings.Peer) (HelloReply, bool) {
-	if peer.ID == n.self.ID {
-		return HelloReply{Identity: n.self}, true
+	if peer.ID == n.self.ID || peer.Address == n.Address() {
+		return HelloReply{Identity: n.self, DataCentre: n.set.Node.DataCentre}, true
 	}
 	ctx, cancel := context.WithTimeout(n.stop, n.set.Replication.ElectionTimeout)
 	defer cancel()
 	var hello HelloReply
 	err := n.client.Call(ctx, peer.Address, methodHello, &HelloArgs{Group: n.set.Group}, &hello)
-	return hello, err == nil && hello.Identity.ID == peer.ID
+	return hello, err == nil && (peer.ID == "" || hello.Identity.ID == peer.ID)
+}
+
+// firstMembers returns the voters that found the group: those of the settings,
+// or the control processes that discovery begins with, whose ids are not known.
+func (n *Node) firstMembers() []settings.Peer {
+	if len(n.set.Members) > 0 {
+		return n.set.Members
+	}
+	var peers []settings.Peer
+	for _, address := range n.set.Discovery.SeedAddresses() {
+		peers = append(peers, settings.Peer{Address: address})
+	}
+	return peers
+}
+
+func (n *Node) isFirstMember() bool {
+	for _, peer := range n.firstMembers() {
+		if peer.ID == n.self.ID || peer.Address == n.Address() {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/control/driver/loop.go
+++ b/internal/control/driver/loop.go
@@ -125,6 +125,7 @@
 // publish lets others see the state, and wakes them when role or leader have
 // changed.
 func (n *Node) publish() {
+	n.noteMembers()
 	s := n.state
 	next := &view{
 		role:   s.Role(),
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -15,6 +15,7 @@
 	"wigeonbay/internal/control/machine"
 	"wigeonbay/internal/control/replica"
 	"wigeonbay/internal/control/wal"
+	"wigeonbay/internal/discovery/watch"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wire"
@@ -48,7 +49,15 @@
 
 	machineMu sync.RWMutex
 	machine   *machine.Machine
-	applied   *broadcast // of the machine's version
+	applied   *broadcast // of the machine's versions
+
+	directory *directory
+	watcher   *watch.Watcher
+	// watchClient carries held calls only.
+	watchClient *wire.Client
+	// memberAddresses are those of the group's members.
+	memberAddresses atomic.Pointer[[]string]
+	candidates      candidates
 
 	listener net.Listener
 	server   *wire.Server
@@ -97,6 +106,7 @@
 	n.calls = newCalls()
 	n.changed = newBroadcast()
 	n.applied = newBroadcast()
+	n.directory = newDirectory(rand.Uint64())
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	n.machine = machine.New(n.set.Replication.LedgerRetention)
 	if err := n.restoreFound(found); err != nil {
@@ -163,6 +173,7 @@
 func (n *Node) Start() {
 	founds := n.mayFound()
 	n.running.Add(3)
+	n.startDiscovery()
 	go n.loop()
 	go n.applier.run()
 	go n.writeDisk()
@@ -184,6 +195,7 @@
 	n.handOver()
 	time.Sleep(replyLinger)
 	n.cancel()
+	n.stopDiscovery()
 	n.peers.wait()
 	n.client.Close()
 	n.server.Close()
--- a/internal/control/driver/options.go
+++ b/internal/control/driver/options.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"wigeonbay/internal/control/wal"
-	"wigeonbay/internal/settings"
 	"wigeonbay/internal/wire"
 )
 
@@ -71,12 +70,3 @@
 func (n *Node) tickInterval() time.Duration {
 	return max(time.Millisecond, n.set.Replication.Heartbeat/ticksPerHeartbeat)
 }
-
-func selfMember(set settings.Control) (settings.Peer, bool) {
-	for _, member := range set.Members {
-		if member.ID == set.Node.ID {
-			return member, true
-		}
-	}
-	return settings.Peer{}, false
-}
--- a/internal/control/driver/peer_service.go
+++ b/internal/control/driver/peer_service.go
@@ -23,6 +23,8 @@
 	Identity replica.Identity
 	// Founded tells that the replica holds a log of the group.
 	Founded bool
+	// DataCentre is where the replica runs.
+	DataCentre string
 }
 
 // Deliver takes messages in.
@@ -50,6 +52,7 @@
 		return err
 	}
 	reply.Identity = p.n.self
+	reply.DataCentre = p.n.set.Node.DataCentre
 	return p.n.inspect(p.n.stop, func(s *replica.State) {
 		reply.Founded = s.LastIndex() > 0
 	})
--- a/internal/control/driver/peers.go
+++ b/internal/control/driver/peers.go
@@ -18,6 +18,9 @@
 	methodClaim     = peerServiceName + ".Claim"
 	methodRecord    = peerServiceName + ".Record"
 	methodReplace   = peerServiceName + ".Replace"
+	methodJoin      = peerServiceName + ".Join"
+
+	methodReplaceTable = peerServiceName + ".ReplaceTable"
 )
 
 // DeliverArgs carries messages between replicas.
--- /dev/null
+++ b/internal/control/driver/watch.go
@@ -0,0 +1,322 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/telemetry"
+)
+
+const (
+	// maxWatchWait bounds how long a poll is held. A watcher that is gone is
+	// noticed, and no longer waited for, a little later.
+	maxWatchWait = time.Second
+	// watcherExpiry is how long a watcher counts as live after its last poll:
+	// the longest hold and a round trip with a lost packet.
+	watcherExpiry = maxWatchWait + 500*time.Millisecond
+	// confirmWait bounds how long a leaving target waits for the watchers;
+	// targets give up on a call after a second.
+	confirmWait = 700 * time.Millisecond
+)
+
+// errUnconfirmed refuses to acknowledge that a target leaves while a live
+// watcher may not know it: the watcher could go on sending to the target after
+// the time that was acknowledged.
+var errUnconfirmed = errors.New("not every entry node has confirmed that the target leaves")
+
+// directory holds the records of targets and who follows them. It is safe for
+// concurrent use.
+type directory struct {
+	epoch uint64
+	// changed is signalled with each change of the records, confirmed with each
+	// poll of a watcher.
+	changed   *broadcast
+	confirmed *broadcast
+
+	mu       sync.Mutex
+	targets  *discovery.Targets
+	watchers *discovery.Watchers
+}
+
+func newDirectory(epoch uint64) *directory {
+	return &directory{
+		epoch:     epoch,
+		changed:   newBroadcast(),
+		confirmed: newBroadcast(),
+		targets:   discovery.NewTargets(),
+		watchers:  discovery.NewWatchers(watcherExpiry),
+	}
+}
+
+// merge takes news and returns the records that changed and the revision that
+// holds them.
+func (d *directory) merge(news ...api.Announcement) ([]api.Announcement, uint64) {
+	d.mu.Lock()
+	var changed []api.Announcement
+	for _, a := range news {
+		changed = append(changed, d.targets.Merge(a)...)
+	}
+	revision := d.targets.Revision()
+	d.mu.Unlock()
+	if len(changed) > 0 {
+		d.changed.signal()
+	}
+	return changed, revision
+}
+
+// Announce takes a target's news of itself. For a target that leaves, nil means
+// that every live entry node and control process knows it.
+func (n *Node) Announce(ctx context.Context, a api.Announcement) error {
+	_, revision := n.takeNews(a, "announced")
+	if a.State.AcceptsWork() {
+		return nil
+	}
+	return n.confirmLeaving(ctx, a, revision)
+}
+
+// Depart notes that a target leaves; an incarnation of 0 stands for the known
+// one.
+func (n *Node) Depart(ctx context.Context, target api.TargetID, incarnation uint64) error {
+	n.directory.mu.Lock()
+	leaving := n.directory.targets.Leaving(target, incarnation)
+	n.directory.mu.Unlock()
+	_, revision := n.takeNews(leaving, "departed")
+	return n.confirmLeaving(ctx, leaving, revision)
+}
+
+func (n *Node) takeNews(a api.Announcement, source string) ([]api.Announcement, uint64) {
+	changed, revision := n.directory.merge(a)
+	for _, c := range changed {
+		telemetry.ControlTargetChanged.Log(n.logger,
+			zap.String("target", string(c.Target)),
+			zap.String("service", c.Service),
+			zap.String("state", string(c.State)),
+			zap.Uint64("incarnation", c.Incarnation),
+			zap.Uint64("sequence", c.Sequence),
+			zap.String("source", source))
+	}
+	return changed, revision
+}
+
+func (n *Node) confirmLeaving(ctx context.Context, a api.Announcement, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	for {
+		polled := n.directory.confirmed.next()
+		n.directory.mu.Lock()
+		behind := n.directory.watchers.Behind(time.Now(), revision)
+		n.directory.mu.Unlock()
+		if len(behind) == 0 {
+			return nil
+		}
+		select {
+		case <-polled:
+		case <-ctx.Done():
+			telemetry.ControlLeavingUnconfirmed.Log(n.logger,
+				zap.String("target", string(a.Target)),
+				zap.Strings("behind", behind),
+				zap.Uint64("revision", revision))
+			return errUnconfirmed
+		case <-n.stop.Done():
+			return errStopping
+		}
+	}
+}
+
+// Watch brings a watcher up to date, at once or when there is news.
+func (c *controlService) Watch(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	wait := min(max(time.Duration(args.WaitMS)*time.Millisecond, 0), maxWatchWait)
+	ctx, done, ok := c.n.begin(args.Envelope, wait)
+	if !ok {
+		reply.Result = stoppingResult()
+		reply.QuorumAgeMS = -1
+		return nil
+	}
+	defer done()
+	c.n.watchHere(ctx, args, wait, reply)
+	return nil
+}
+
+func (n *Node) watchHere(ctx context.Context, args *controlrpc.WatchArgs, wait time.Duration, reply *controlrpc.WatchReply) {
+	d := n.directory
+	since := args.Revision
+	if args.Epoch != d.epoch {
+		since = 0
+	}
+	n.notePoll(args, since)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waiting := true; waiting && !n.hasNews(args, since); {
+		changed, applied := d.changed.next(), n.applied.next()
+		if n.hasNews(args, since) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-applied:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		case <-n.calls.stopping:
+			waiting = false
+		case <-n.stop.Done():
+			waiting = false
+		}
+	}
+	n.fillWatch(args, since, reply)
+}
+
+// notePoll counts the watcher as live. What it polls after is confirmed, which
+// wakes those who wait for that.
+func (n *Node) notePoll(args *controlrpc.WatchArgs, since uint64) {
+	now := time.Now()
+	n.directory.mu.Lock()
+	fresh := n.directory.watchers.Polled(now, args.Node, args.Kind, args.DataCentre, since)
+	gone := n.directory.watchers.Expire(now)
+	n.directory.mu.Unlock()
+	if fresh {
+		telemetry.ControlWatcherJoined.Log(n.logger, zap.String("node", args.Node), zap.String("kind", string(args.Kind)))
+	}
+	for _, node := range gone {
+		telemetry.ControlWatcherLost.Log(n.logger, zap.String("node", node))
+	}
+	n.directory.confirmed.signal()
+}
+
+// hasNews reports whether there is something that the watcher lacks.
+func (n *Node) hasNews(args *controlrpc.WatchArgs, since uint64) bool {
+	n.directory.mu.Lock()
+	revision := n.directory.targets.Revision()
+	n.directory.mu.Unlock()
+	return revision > since || args.Epoch != n.directory.epoch || n.table().Version > args.TableVersion
+}
+
+func (n *Node) fillWatch(args *controlrpc.WatchArgs, since uint64, reply *controlrpc.WatchReply) {
+	d := n.directory
+	reply.Epoch = d.epoch
+	reply.QuorumAgeMS = n.quorumAgeMS()
+	table := n.table()
+	reply.TableVersion = table.Version
+	if table.Version > args.TableVersion {
+		reply.Table = &table
+	}
+	reply.Controls = n.controlAddresses()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reply.Revision = d.targets.Revision()
+	reply.Targets = d.targets.Since(since)
+	reply.EntryNodes = d.watchers.EntryNodes(time.Now())
+}
+
+func (n *Node) table() controlrpc.Document {
+	n.machineMu.RLock()
+	defer n.machineMu.RUnlock()
+	return n.machine.Table()
+}
+
+// controlAddresses returns where the control processes are: the members of the
+// group, this process, and those of the settings.
+func (n *Node) controlAddresses() []string {
+	addresses := []string{n.Address()}
+	if known := n.memberAddresses.Load(); known != nil {
+		addresses = append(addresses, *known...)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// noteMembers runs on the loop and lets others see the members' addresses.
+func (n *Node) noteMembers() {
+	members, _ := n.state.Membership()
+	addresses := make([]string, 0, len(members.Members))
+	for _, m := range members.Members {
+		addresses = append(addresses, m.Address)
+	}
+	if before := n.memberAddresses.Load(); before != nil && slices.Equal(*before, addresses) {
+		return
+	}
+	n.memberAddresses.Store(&addresses)
+}
+
+// ReplaceTable makes a routing table durable under its version; nil means that a
+// quorum has synced it or one of a higher version.
+func (n *Node) ReplaceTable(ctx context.Context, document controlrpc.Document) error {
+	if n.table().Version >= document.Version {
+		// What is applied here is committed: nothing is left to be made durable.
+		return nil
+	}
+	args := &controlrpc.ReplaceTableArgs{Document: document}
+	reply := route(ctx, n, routed[controlrpc.ReplaceTableReply]{
+		here:   func() controlrpc.ReplaceTableReply { return n.replaceTableHere(ctx, args) },
+		method: methodReplaceTable,
+		args:   args,
+		result: func(r *controlrpc.ReplaceTableReply) *controlrpc.Result { return &r.Result },
+	})
+	event := telemetry.ControlTableAccepted
+	if reply.Result.Code != controlrpc.CodeOK {
+		event = telemetry.ControlTableRefused
+	}
+	event.Log(n.logger,
+		zap.Uint64("version", document.Version),
+		zap.Uint64("in_force", reply.Version),
+		zap.String("code", string(reply.Result.Code)),
+		zap.String("detail", reply.Result.Detail))
+	return resultError(reply.Result)
+}
+
+// CurrentTable returns the routing table that a quorum confirms to be the newest.
+func (n *Node) CurrentTable(ctx context.Context) (controlrpc.Document, error) {
+	if err := resultError(n.confirm(ctx)); err != nil {
+		return controlrpc.Document{}, err
+	}
+	return n.table(), nil
+}
+
+func resultError(r controlrpc.Result) error {
+	if r.Code == controlrpc.CodeOK {
+		return nil
+	}
+	return fmt.Errorf("control group: %s: %s", r.Code, r.Detail)
+}
+
+// ReplaceTable is the method for operators' tools.
+func (c *controlService) ReplaceTable(args *controlrpc.ReplaceTableArgs, reply *controlrpc.ReplaceTableReply) error {
+	ctx, done, ok := c.n.begin(args.Envelope, 0)
+	if !ok {
+		reply.Result = stoppingResult()
+		return nil
+	}
+	defer done()
+	if err := c.n.ReplaceTable(ctx, args.Document); err != nil {
+		reply.Result = controlrpc.Result{Code: controlrpc.CodeNoQuorum, Detail: err.Error()}
+	}
+	reply.Version = c.n.table().Version
+	return nil
+}
+
+// ReplaceTable is Control.ReplaceTable for a replica that takes this one for
+// the leader.
+func (p *peerService) ReplaceTable(args *controlrpc.ReplaceTableArgs, reply *controlrpc.ReplaceTableReply) error {
+	p.carryOut(args.Envelope, &reply.Result, func(ctx context.Context) {
+		*reply = p.n.replaceTableHere(ctx, args)
+	})
+	return nil
+}
+
+// isMember reports whether the replica belongs to the membership that it knows.
+func isMember(s *replica.State) bool {
+	members, _ := s.Membership()
+	_, ok := members.Find(s.Identity())
+	return ok
+}
--- a/internal/control/machine/command.go
+++ b/internal/control/machine/command.go
@@ -20,6 +20,7 @@
 	KindTicket Kind = 1
 	KindClaim  Kind = 2
 	KindRecord Kind = 3
+	KindTable  Kind = 4
 )
 
 // Command is one entry of the replicated log. The field that belongs to Kind
@@ -32,6 +33,7 @@
 	Ticket    *api.Ticket            `msgpack:"ticket,omitempty"`
 	Claim     *controlrpc.ClaimArgs  `msgpack:"claim,omitempty"`
 	Record    *controlrpc.RecordArgs `msgpack:"record,omitempty"`
+	Table     *controlrpc.Document   `msgpack:"table,omitempty"`
 }
 
 // Encode returns the command as it is replicated. Envelopes are left out:
@@ -71,16 +73,16 @@
 
 // check reports a command whose fields don't belong to its kind.
 func (c Command) check() error {
-	ok := false
-	switch c.Kind {
-	case KindNoop:
-		ok = c.Ticket == nil && c.Claim == nil && c.Record == nil
-	case KindTicket:
-		ok = c.Ticket != nil && c.Claim == nil && c.Record == nil
-	case KindClaim:
-		ok = c.Ticket == nil && c.Claim != nil && c.Record == nil
-	case KindRecord:
-		ok = c.Ticket == nil && c.Claim == nil && c.Record != nil
+	fields := map[Kind]bool{
+		KindTicket: c.Ticket != nil,
+		KindClaim:  c.Claim != nil,
+		KindRecord: c.Record != nil,
+		KindTable:  c.Table != nil,
+	}
+	_, known := fields[c.Kind]
+	ok := known || c.Kind == KindNoop
+	for kind, set := range fields {
+		ok = ok && set == (kind == c.Kind)
 	}
 	if !ok {
 		return fmt.Errorf("command of kind %d doesn't hold exactly what its kind needs", c.Kind)
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -19,6 +19,10 @@
 // MaxTicketBytes bounds a ticket as it is replicated.
 const MaxTicketBytes = 256 << 10
 
+// MaxTableBytes bounds a routing table as it is replicated, compressed; 400
+// routes take some 15 KB.
+const MaxTableBytes = 1 << 20
+
 // Result is what a command brought about. The fields of other kinds of
 // commands are zero.
 type Result struct {
@@ -29,6 +33,8 @@
 	// Outcome is the recorded outcome, with ClaimRecorded.
 	Outcome controlrpc.Outcome
 	Detail  string
+	// TableVersion is the version in force after KindTable.
+	TableVersion uint64
 }
 
 // Machine holds the applied state of one replica. It is not safe for
@@ -38,6 +44,7 @@
 	nowMS   int64
 	tickets *tickets.State
 	ledger  *ledger.Ledger
+	table   controlrpc.Document
 }
 
 // New returns a machine that has applied nothing. The ledger forgets keys
@@ -62,10 +69,28 @@
 		return Result{Verdict: v.Verdict, Outcome: v.Outcome, Detail: v.Detail}
 	case KindRecord:
 		m.ledger.Record(c.NowUnixMS, *c.Record)
+	case KindTable:
+		m.replaceTable(*c.Table)
+		return Result{TableVersion: m.table.Version}
 	}
 	return Result{}
 }
 
+// replaceTable takes a routing table of a higher version. Another document
+// under the version held, or a lower one, changes nothing: a resent or late
+// order must not take back what followed it.
+func (m *Machine) replaceTable(table controlrpc.Document) {
+	if table.Version > m.table.Version {
+		m.table = table
+	}
+}
+
+// Table returns the routing table in force; its version is 0 before the first.
+// The receiver must not change what it points to.
+func (m *Machine) Table() controlrpc.Document {
+	return m.table
+}
+
 // ticketTime returns the time of acceptance for the history, which never runs
 // backwards. The ledger takes the leader's clock as it is: its own floor is
 // monotonic, and a clock that was once far ahead must not expire the keys of
@@ -112,6 +137,18 @@
 	return clusterconfig.CheckTicket(ticket)
 }
 
+// CheckTable reports a routing table that is out of bounds, before it is
+// proposed.
+func (m *Machine) CheckTable(table controlrpc.Document) error {
+	if table.Version == 0 || len(table.Packed) == 0 {
+		return fmt.Errorf("%w: a routing table needs a version and a document", clusterconfig.ErrInvalid)
+	}
+	if len(table.Packed) > MaxTableBytes {
+		return fmt.Errorf("%w: the routing table's %d bytes are over the limit of %d", clusterconfig.ErrInvalid, len(table.Packed), MaxTableBytes)
+	}
+	return nil
+}
+
 // CheckClaim reports a claim that is out of bounds, before it is proposed.
 func (m *Machine) CheckClaim(args controlrpc.ClaimArgs) error {
 	if args.Key == "" || len(args.Key) > ledger.MaxKeyBytes {
--- a/internal/control/machine/snapshot.go
+++ b/internal/control/machine/snapshot.go
@@ -7,6 +7,7 @@
 
 	"wigeonbay/internal/control/ledger"
 	"wigeonbay/internal/control/tickets"
+	"wigeonbay/internal/controlrpc"
 )
 
 // snapshotFormat is raised by each change that older readers can't take.
@@ -19,6 +20,7 @@
 	NowUnixMS int64
 	Tickets   tickets.Image
 	Ledger    ledger.Image
+	Table     controlrpc.Document
 }
 
 // Snapshot returns the whole state, encoded; equal states give equal bytes.
@@ -29,6 +31,7 @@
 		NowUnixMS: m.nowMS,
 		Tickets:   m.tickets.Image(),
 		Ledger:    m.ledger.Image(),
+		Table:     m.table,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
@@ -54,5 +57,6 @@
 	m.nowMS = state.NowUnixMS
 	m.tickets = tickets.FromImage(state.Tickets)
 	m.ledger.Load(state.Ledger)
+	m.table = state.Table
 	return nil
 }
--- a/internal/control/replica/change.go
+++ b/internal/control/replica/change.go
@@ -1,5 +1,7 @@
 package replica
 
+import "time"
+
 // Change is one step of a membership change: one of the types of this file.
 type Change interface{ change() }
 
@@ -136,6 +138,9 @@
 	Heard bool
 	// SilentMS is the time in milliseconds since it answered, -1 for never.
 	SilentMS int64
+	// Silent is the time since it answered or, if it hasn't, since this
+	// replica began to lead it; 0 for this replica itself.
+	Silent time.Duration
 }
 
 // Members returns what the replica knows of each member; a follower knows
@@ -152,6 +157,9 @@
 			known.Match, known.Heard = p.match, s.heardLately(member.Identity)
 			known.SilentMS = (s.now - p.heard).Milliseconds()
 		}
+		if p != nil {
+			known.Silent = s.now - p.heard
+		}
 		out = append(out, known)
 	}
 	return out
--- /dev/null
+++ b/internal/controlrpc/routing.go
@@ -0,0 +1,72 @@
+package controlrpc
+
+import (
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/wire"
+)
+
+// Names of the methods about targets and the routing table.
+const (
+	MethodWatch        = "Control.Watch"
+	MethodReplaceTable = "Control.ReplaceTable"
+)
+
+// Document is a routing table as an operator sent it. The control group keeps
+// it unread, so that what is read back is what was sent.
+type Document struct {
+	Version uint64
+	// Packed is the document, compressed by package pack.
+	Packed []byte
+}
+
+// ReplaceTableArgs carries a new routing table.
+type ReplaceTableArgs struct {
+	Envelope wire.Envelope
+	Document Document
+}
+
+// ReplaceTableReply acknowledges that a table of at least this version is
+// committed. It holds only with CodeOK.
+type ReplaceTableReply struct {
+	Result Result
+	// Version is the version in force.
+	Version uint64
+}
+
+// WatchArgs asks for what changed since the watcher's last poll. By polling, a
+// watcher confirms that it acts on everything up to Revision.
+type WatchArgs struct {
+	Envelope   wire.Envelope
+	Node       string
+	Kind       discovery.WatcherKind
+	DataCentre string
+	// Epoch and Revision are those of the last reply of the same control
+	// process; 0 for none.
+	Epoch    uint64
+	Revision uint64
+	// TableVersion is the version of the routing table that the watcher holds.
+	TableVersion uint64
+	// WaitMS is how long the call may be held until there is news.
+	WaitMS int64
+}
+
+// WatchReply brings a watcher up to date.
+type WatchReply struct {
+	Result Result
+	// Epoch identifies the control process's start; revisions of another epoch
+	// mean nothing.
+	Epoch    uint64
+	Revision uint64
+	Targets  []api.Announcement
+	// Table is nil unless it is newer than the watcher's.
+	Table *Document
+	// TableVersion is the version that the control process holds.
+	TableVersion uint64
+	// QuorumAgeMS is as in FetchReply.
+	QuorumAgeMS int64
+	// Controls are the addresses of the control processes.
+	Controls []string
+	// EntryNodes counts the live entry nodes of each data centre.
+	EntryNodes map[string]int
+}
--- /dev/null
+++ b/internal/discovery/watch/watch.go
@@ -0,0 +1,214 @@
+// Package watch follows control processes: it keeps a poll open at each of them,
+// hands on what changed, and finds further control processes in the replies.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
+)
+
+const (
+	// pollWait is how long a control process may hold a poll.
+	pollWait = time.Second
+	// pollTimeout is the time for a reply beyond the wait, after which the
+	// connection is replaced: a round trip between regions with a lost packet.
+	pollTimeout = 700 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed poll. Nodes must
+	// be back well within the few seconds after a cut in which they are expected
+	// to act on news again.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+	// forgetAfter is how long a control process that no other one names may
+	// fail before it is given up.
+	forgetAfter = 30 * time.Second
+)
+
+// Config is what a Watcher needs.
+type Config struct {
+	Node       string
+	Kind       discovery.WatcherKind
+	DataCentre string
+	// Seeds are the control processes to begin with, IP:port; Self is this
+	// process's own address, if it is one of them.
+	Seeds []string
+	Self  string
+	// Client should be used for nothing else: its connections carry held calls.
+	Client *wire.Client
+	Logger *zap.Logger
+	// TableVersion returns the version of the routing table in force here.
+	TableVersion func() uint64
+	// OnReply acts on a reply. The next poll at that control process confirms
+	// the news, so it must be in force when OnReply returns. Replies of
+	// different control processes may come at the same time.
+	OnReply func(address string, reply *controlrpc.WatchReply)
+}
+
+// Watcher follows control processes. It is safe for concurrent use.
+type Watcher struct {
+	cfg     Config
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu    sync.Mutex
+	polls map[string]*poll
+}
+
+// poll is what is known of one control process.
+type poll struct {
+	epoch    uint64
+	revision uint64
+	reached  bool
+	// named is when a reply or the settings last named the process.
+	named time.Time
+}
+
+// New returns a watcher that has not started.
+func New(cfg Config) *Watcher {
+	w := &Watcher{cfg: cfg, polls: map[string]*poll{}}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// Start begins to poll. It returns at once.
+func (w *Watcher) Start() { w.Name(w.cfg.Seeds) }
+
+// Stop ends the polls and waits for them.
+func (w *Watcher) Stop() {
+	w.cancel()
+	w.running.Wait()
+}
+
+// Name begins to poll the control processes that aren't polled yet.
+func (w *Watcher) Name(addresses []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ctx.Err() != nil {
+		return
+	}
+	for _, address := range addresses {
+		if address == w.cfg.Self {
+			continue
+		}
+		if known := w.polls[address]; known != nil {
+			known.named = time.Now()
+			continue
+		}
+		p := &poll{named: time.Now()}
+		w.polls[address] = p
+		w.running.Go(func() { w.follow(address, p) })
+	}
+}
+
+// Known returns the control processes that are polled.
+func (w *Watcher) Known() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	addresses := make([]string, 0, len(w.polls))
+	for address := range w.polls {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// Reached returns the number of control processes whose last poll succeeded.
+func (w *Watcher) Reached() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reached := 0
+	for _, p := range w.polls {
+		if p.reached {
+			reached++
+		}
+	}
+	return reached
+}
+
+// follow polls one control process until the watcher stops or the process is
+// forgotten.
+func (w *Watcher) follow(address string, p *poll) {
+	backoff := minBackoff
+	for w.ctx.Err() == nil {
+		if w.pollOnce(address, p) {
+			backoff = minBackoff
+			continue
+		}
+		if w.forget(address, p) {
+			return
+		}
+		// Spread, so that nodes don't come back to a process together.
+		pause(w.ctx, backoff/2+rand.N(backoff))
+		backoff = min(maxBackoff, 2*backoff)
+	}
+}
+
+func (w *Watcher) pollOnce(address string, p *poll) bool {
+	ctx, cancel := context.WithTimeout(w.ctx, pollWait+pollTimeout)
+	defer cancel()
+	args := &controlrpc.WatchArgs{
+		Node:         w.cfg.Node,
+		Kind:         w.cfg.Kind,
+		DataCentre:   w.cfg.DataCentre,
+		Epoch:        p.epoch,
+		Revision:     p.revision,
+		TableVersion: w.cfg.TableVersion(),
+	}
+	if p.reached {
+		args.WaitMS = pollWait.Milliseconds()
+	}
+	var reply controlrpc.WatchReply
+	err := w.cfg.Client.Call(ctx, address, controlrpc.MethodWatch, args, &reply)
+	good := err == nil && reply.Result.Code == controlrpc.CodeOK
+	if good {
+		w.cfg.OnReply(address, &reply)
+		p.epoch, p.revision = reply.Epoch, reply.Revision
+		w.Name(reply.Controls)
+	}
+	w.note(address, p, good, err)
+	return good
+}
+
+// note logs when a control process is lost or regained.
+func (w *Watcher) note(address string, p *poll, good bool, err error) {
+	w.mu.Lock()
+	before := p.reached
+	p.reached = good
+	w.mu.Unlock()
+	if before == good || w.ctx.Err() != nil {
+		return
+	}
+	if good {
+		telemetry.WatchRegained.Log(w.cfg.Logger, zap.String("control", address), zap.Uint64("revision", p.revision))
+		return
+	}
+	telemetry.WatchLost.Log(w.cfg.Logger, zap.String("control", address), zap.Error(err))
+}
+
+// forget gives up a control process that has been silent and unnamed for long.
+func (w *Watcher) forget(address string, p *poll) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(p.named) < forgetAfter || len(w.polls) == 1 {
+		return false
+	}
+	delete(w.polls, address)
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/forward/arrive.go
@@ -0,0 +1,195 @@
+package forward
+
+import (
+	"math"
+	"net/http"
+	"time"
+)
+
+const (
+	// answerMargin is kept of each deadline for the way back to the caller.
+	answerMargin = 10 * time.Millisecond
+	// goalMarginFraction of a route's goal is kept for the way to and from the
+	// caller and for merging, within minGoalMargin and maxGoalMargin: the goal
+	// counts from the caller's first attempt.
+	goalMarginFraction = 8
+	minGoalMargin      = 10 * time.Millisecond
+	maxGoalMargin      = 25 * time.Millisecond
+	// startRetry is when to come back to a node without a routing table: one
+	// comes with the first reply of a control process.
+	startRetry = 300 * time.Millisecond
+	// minRetry is the shortest time that a refused caller is told.
+	minRetry = 50 * time.Millisecond
+)
+
+// arrive routes a request and sends its parts, or refuses it at once.
+func (s *State) arrive(ev Arrived) {
+	s.counters.Requests++
+	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now}
+	if s.routes == nil {
+		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTable, s.spread(r, startRetry))
+		return
+	}
+	r.route = s.routes.find(ev.Host, ev.Path)
+	if r.route == nil {
+		s.refuse(r, http.StatusNotFound, ReasonNoRoute, 0)
+		return
+	}
+	r.deadline = s.now.Add(r.route.config.Timeout)
+	if !ev.Deadline.IsZero() && ev.Deadline.Before(r.deadline) {
+		r.deadline = ev.Deadline
+	}
+	if r.deadline.Sub(s.now) <= answerMargin {
+		s.refuse(r, http.StatusRequestTimeout, ReasonExpired, 0)
+		return
+	}
+	s.makeParts(r)
+	if !s.coverable(r) {
+		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTarget, s.untilCoverable(r))
+		return
+	}
+	s.requests[r.id] = r
+	for _, p := range r.parts {
+		if r.done {
+			return
+		}
+		s.dispatch(p)
+	}
+	s.setTimer(r)
+}
+
+func (s *State) makeParts(r *request) {
+	pools := r.route.pools
+	if !r.route.config.IsGather() {
+		i := r.route.split.next()
+		pools = pools[i : i+1]
+	}
+	parts := make([]part, len(pools))
+	r.parts = make([]*part, len(pools))
+	for i, p := range pools {
+		parts[i] = part{request: r, pool: p}
+		r.parts[i] = &parts[i]
+	}
+	r.open = len(r.parts)
+	r.answerBy = r.deadline
+	if r.route.config.IsGather() && r.route.config.Goal > 0 {
+		goal := r.route.config.Goal
+		r.answerBy = r.arrived.Add(goal - min(max(goal/goalMarginFraction, minGoalMargin), maxGoalMargin))
+	}
+}
+
+// needed is the number of parts without which an answer fails.
+func (r *request) needed() int {
+	const rounding = 1e-9
+	least := int(math.Ceil(r.route.config.LeastCoverage*float64(len(r.parts)) - rounding))
+	return max(1, least)
+}
+
+// coverable reports whether enough pools have a target that could answer.
+func (s *State) coverable(r *request) bool {
+	usable := 0
+	for _, p := range r.parts {
+		if p.pool.usable() {
+			usable++
+		}
+	}
+	return usable >= r.needed()
+}
+
+// untilCoverable is when to come back to a request that too few pools can
+// answer: when their targets' health is checked next.
+func (s *State) untilCoverable(r *request) time.Duration {
+	longest := minRetry
+	for _, p := range r.parts {
+		if !p.pool.usable() {
+			longest = max(longest, s.untilProbe(p.pool))
+		}
+	}
+	return s.spread(r, longest)
+}
+
+// spread returns a time between d and 1.5 d, so that callers refused together
+// don't come back together.
+func (s *State) spread(r *request, d time.Duration) time.Duration {
+	return d + time.Duration(r.seed%uint64(d/2+1))
+}
+
+// dispatch sends a part to the best target, lets it wait for a connection, or
+// goes without it.
+func (s *State) dispatch(p *part) {
+	t, wait := s.choose(p)
+	switch {
+	case t != nil:
+		s.send(p, t, false)
+	case wait:
+		s.wait(p)
+	default:
+		p.phase = partIdle
+		s.miss(p)
+	}
+}
+
+// wait puts a part into its pool's queue: the most urgent first, those of equal
+// rank by their arrival.
+func (s *State) wait(p *part) {
+	s.counters.Queued++
+	p.phase = partWaiting
+	p.waitingFrom = s.now
+	at := len(p.pool.waiting)
+	for at > 0 && before(p, p.pool.waiting[at-1]) {
+		at--
+	}
+	p.pool.waiting = append(p.pool.waiting, nil)
+	copy(p.pool.waiting[at+1:], p.pool.waiting[at:])
+	p.pool.waiting[at] = p
+}
+
+func before(a, b *part) bool {
+	if a.request.route.config.Priority != b.request.route.config.Priority {
+		return a.request.route.config.Priority < b.request.route.config.Priority
+	}
+	return a.request.arrived.Before(b.request.arrived)
+}
+
+// pump sends waiting parts of a pool as far as there is room.
+func (s *State) pump(p *pool) {
+	for len(p.waiting) > 0 {
+		next := p.waiting[0]
+		t, wait := s.choose(next)
+		if t == nil && wait {
+			return
+		}
+		p.waiting = p.waiting[1:]
+		next.phase = partIdle
+		next.request.queued = max(next.request.queued, s.now.Sub(next.waitingFrom))
+		if t == nil {
+			s.miss(next)
+			continue
+		}
+		s.send(next, t, false)
+		s.setTimer(next.request)
+	}
+}
+
+// send sends a part to a target.
+func (s *State) send(p *part, t *target, hedge bool) {
+	r := p.request
+	s.lastAttempt++
+	a := &attempt{
+		id: s.lastAttempt, part: p, target: t, sent: s.now, hedge: hedge,
+		expected: s.usualWork(r.route),
+	}
+	s.attempts[a.id] = a
+	if p.sends == 0 {
+		p.pool.budget.earn(s.options.Budget, s.now)
+	}
+	p.sends++
+	p.runs++
+	p.phase = partSent
+	p.asked = append(p.asked, t)
+	p.outstanding = append(p.outstanding, a)
+	t.outstanding = append(t.outstanding, a)
+	r.sends = append(r.sends, a)
+	s.counters.Sends++
+	s.emit(Send{Request: r.id, Attempt: a.id, Target: t.id(), Deadline: r.deadline.Add(-answerMargin / 2)})
+}
--- /dev/null
+++ b/internal/entry/forward/effect.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// Effect is something that the driver must do.
+type Effect interface{ effect() }
+
+// Send sends the request to a target, once.
+type Send struct {
+	Request RequestID
+	Attempt AttemptID
+	Target  api.TargetID
+	// Deadline is when the target is to stop work; the attempt ends then.
+	Deadline time.Time
+}
+
+// Cancel gives up an attempt; its connection is closed.
+type Cancel struct{ Attempt AttemptID }
+
+// Discard drops the reply kept for an attempt that won't count.
+type Discard struct{ Attempt AttemptID }
+
+// Pass answers a request with the reply of an attempt, unchanged.
+type Pass struct {
+	Request RequestID
+	Attempt AttemptID
+	Summary Summary
+}
+
+// Merge answers a request with the greatest records of the attempts' replies.
+type Merge struct {
+	Request  RequestID
+	Attempts []AttemptID
+	TopK     int
+	// Missing is the number of pools without a part.
+	Missing int
+	Summary Summary
+}
+
+// Refuse answers a request with a status of this node's own.
+type Refuse struct {
+	Request RequestID
+	Status  int
+	// RetryAfter is when to come back; 0 says nothing.
+	RetryAfter time.Duration
+	Reason     Reason
+	Summary    Summary
+}
+
+// Ended tells that nobody waits for a request any more.
+type Ended struct {
+	Request RequestID
+	Summary Summary
+}
+
+// SetTimer sets a request's only timer.
+type SetTimer struct {
+	Request RequestID
+	At      time.Time
+}
+
+// Connect sets how many connections may be held to a target.
+type Connect struct {
+	Target      api.TargetID
+	Address     string
+	Connections int
+	// Ahead is how many are opened before they are needed.
+	Ahead int
+}
+
+// Forget closes the connections to a target that is gone.
+type Forget struct{ Target api.TargetID }
+
+// Probe asks a target for its health.
+type Probe struct {
+	Target  api.TargetID
+	Address string
+	Path    string
+}
+
+// Belief tells that what this node believes of a target has changed.
+type Belief struct {
+	Target api.TargetID
+	Pool   string
+	Change BeliefChange
+	// Failures is the number of failures in a row, Slowdown the target's speed
+	// against its pool's (1 is usual).
+	Failures int
+	Slowdown float64
+}
+
+// BeliefChange names what changed about a target.
+type BeliefChange string
+
+// Changes of belief.
+const (
+	BeliefUnreachable BeliefChange = "unreachable"
+	BeliefReachable   BeliefChange = "reachable"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNoTable     Reason = "no_routing_table"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonNoTarget    Reason = "no_target"
+	ReasonOverload    Reason = "overload"
+	ReasonLowCoverage Reason = "low_coverage"
+	ReasonTimeout     Reason = "timeout"
+	ReasonExpired     Reason = "deadline_passed"
+	ReasonFailed      Reason = "attempts_failed"
+)
+
+// Summary is the record of a request's decisions, for the log.
+type Summary struct {
+	Route        string
+	TableVersion uint64
+	Took         time.Duration
+	// Queued is how long its first part waited for a connection.
+	Queued time.Duration
+	Parts  int
+	Missed int
+	Sends  []SendRecord
+	Hedges int
+}
+
+// SendRecord is one attempt of a request.
+type SendRecord struct {
+	Pool   string
+	Target api.TargetID
+	// After is when it was sent, Took how long it lasted.
+	After   time.Duration
+	Took    time.Duration
+	Outcome string
+	Status  int
+	Hedge   bool
+}
+
+func (Send) effect()     {}
+func (Cancel) effect()   {}
+func (Discard) effect()  {}
+func (Pass) effect()     {}
+func (Merge) effect()    {}
+func (Refuse) effect()   {}
+func (Ended) effect()    {}
+func (SetTimer) effect() {}
+func (Connect) effect()  {}
+func (Forget) effect()   {}
+func (Probe) effect()    {}
+func (Belief) effect()   {}
--- /dev/null
+++ b/internal/entry/forward/finish.go
@@ -0,0 +1,254 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// lingerTime is how long attempts of an answered request may last: cancelling
+	// one costs its connection, and most end by themselves.
+	lingerTime = 400 * time.Millisecond
+	// abandonTime is the same after the caller has gone.
+	abandonTime = 150 * time.Millisecond
+	// fullRetry is when to come back after an overload, before the pools' own
+	// state says more.
+	fullRetry = 200 * time.Millisecond
+)
+
+// answerPart counts a part's reply, and answers the request when that was the
+// last one needed.
+func (s *State) answerPart(p *part, a *attempt) {
+	r := p.request
+	p.phase = partAnswered
+	p.answer = a
+	r.open--
+	if !r.route.config.IsGather() {
+		s.pass(r, a)
+		return
+	}
+	if r.open == 0 {
+		s.merge(r)
+		return
+	}
+	if !s.now.Before(r.answerBy) {
+		s.answerPartial(r)
+	}
+}
+
+// answerPartial answers a gather with what it has, if that suffices, and
+// reports whether it did. Past the goal the rest could add less than the wait
+// costs.
+func (s *State) answerPartial(r *request) bool {
+	if !r.route.config.IsGather() || r.answered() < r.needed() {
+		return false
+	}
+	s.merge(r)
+	return true
+}
+
+func (r *request) answered() int {
+	return len(r.parts) - r.open - r.missing
+}
+
+// miss goes without a part. A request that can't be answered any more is ended
+// at once.
+func (s *State) miss(p *part) {
+	r := p.request
+	if r.done || p.phase == partAnswered || p.phase == partMissing {
+		return
+	}
+	p.phase = partMissing
+	r.open--
+	r.missing++
+	switch {
+	case len(r.parts)-r.missing < r.needed():
+		s.fail(r, s.failReason(r))
+	case r.open == 0:
+		s.merge(r)
+	}
+}
+
+func (s *State) failReason(r *request) Reason {
+	switch {
+	case r.route.config.IsGather():
+		return ReasonLowCoverage
+	case r.ran:
+		return ReasonFailed
+	default:
+		return ReasonNoTarget
+	}
+}
+
+// timeOut ends a request whose time is up.
+func (s *State) timeOut(r *request) {
+	if s.answerPartial(r) {
+		return
+	}
+	s.fail(r, ReasonTimeout)
+}
+
+// fail ends a request without an answer of a target, or with a target's own
+// failure. "Not run" is said only when no target may have worked on it.
+func (s *State) fail(r *request, reason Reason) {
+	if failure := r.parts[0].failure; failure != nil {
+		s.pass(r, failure)
+		return
+	}
+	for _, p := range r.parts {
+		r.ran = r.ran || len(p.outstanding) > 0
+	}
+	switch {
+	case !r.ran:
+		s.refuse(r, http.StatusServiceUnavailable, reason, s.retryAfter(r, reason))
+	case reason == ReasonTimeout:
+		s.refuse(r, http.StatusGatewayTimeout, reason, 0)
+	default:
+		s.refuse(r, http.StatusBadGateway, reason, 0)
+	}
+}
+
+func (s *State) retryAfter(r *request, reason Reason) time.Duration {
+	if reason == ReasonOverload {
+		return s.spread(r, fullRetry)
+	}
+	return s.untilCoverable(r)
+}
+
+func (s *State) pass(r *request, a *attempt) {
+	if a.part.failure == a {
+		a.part.failure = nil
+	}
+	if a.status < http.StatusMultipleChoices {
+		s.counters.Answered++
+	} else {
+		s.counters.Failed++
+	}
+	s.emit(Pass{Request: r.id, Attempt: a.id, Summary: s.summary(r)})
+	s.finish(r, lingerTime)
+}
+
+func (s *State) merge(r *request) {
+	s.counters.Answered++
+	answer := Merge{Request: r.id, TopK: r.route.config.TopK}
+	for _, p := range r.parts {
+		if p.answer != nil {
+			answer.Attempts = append(answer.Attempts, p.answer.id)
+		}
+	}
+	answer.Missing = len(r.parts) - len(answer.Attempts)
+	if answer.Missing > 0 {
+		s.counters.Partial++
+	}
+	answer.Summary = s.summary(r)
+	s.emit(answer)
+	s.finish(r, lingerTime)
+}
+
+func (s *State) refuse(r *request, status int, reason Reason, retryAfter time.Duration) {
+	s.counters.Refused++
+	s.emit(Refuse{Request: r.id, Status: status, RetryAfter: retryAfter, Reason: reason, Summary: s.summary(r)})
+	for _, p := range r.parts {
+		if p.answer != nil {
+			s.emit(Discard{Attempt: p.answer.id})
+		}
+	}
+	s.finish(r, lingerTime)
+}
+
+// callerGone ends a request that nobody waits for.
+func (s *State) callerGone(id RequestID) {
+	r := s.requests[id]
+	if r == nil || r.done {
+		return
+	}
+	s.counters.Gone++
+	for _, p := range r.parts {
+		if p.answer != nil {
+			s.emit(Discard{Attempt: p.answer.id})
+		}
+	}
+	s.emit(Ended{Request: id, Summary: s.summary(r)})
+	s.finish(r, abandonTime)
+}
+
+// finish takes a request out of the queues. Its attempts may end by themselves
+// within linger.
+func (s *State) finish(r *request, linger time.Duration) {
+	r.done = true
+	for _, p := range r.parts {
+		if p.failure != nil {
+			s.emit(Discard{Attempt: p.failure.id})
+			p.failure = nil
+		}
+		s.unqueue(p)
+		r.lingering = append(r.lingering, p.outstanding...)
+		p.outstanding = nil
+	}
+	if len(r.lingering) == 0 {
+		delete(s.requests, r.id)
+		return
+	}
+	s.emit(SetTimer{Request: r.id, At: s.now.Add(linger)})
+}
+
+func (s *State) unqueue(p *part) {
+	if p.phase != partWaiting {
+		return
+	}
+	p.phase = partIdle
+	for i, other := range p.pool.waiting {
+		if other == p {
+			p.pool.waiting = append(p.pool.waiting[:i], p.pool.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *State) cancelLingering(r *request) {
+	for _, a := range r.lingering {
+		s.emit(Cancel{Attempt: a.id})
+	}
+}
+
+func (s *State) forgetLingering(r *request, a *attempt) {
+	for i, other := range r.lingering {
+		if other == a {
+			r.lingering = append(r.lingering[:i], r.lingering[i+1:]...)
+			break
+		}
+	}
+	if len(r.lingering) == 0 {
+		delete(s.requests, r.id)
+	}
+}
+
+// summary records what was decided about a request.
+func (s *State) summary(r *request) Summary {
+	out := Summary{
+		TableVersion: s.TableVersion(),
+		Took:         s.now.Sub(r.arrived),
+		Queued:       r.queued,
+		Parts:        len(r.parts),
+		Missed:       len(r.parts) - r.answered(),
+		Hedges:       r.hedges,
+	}
+	if r.route != nil {
+		out.Route = r.route.config.Name
+	}
+	out.Sends = make([]SendRecord, 0, len(r.sends))
+	for _, a := range r.sends {
+		record := SendRecord{
+			Pool: a.part.pool.name, Target: a.target.id(), Hedge: a.hedge,
+			After: a.sent.Sub(r.arrived), Outcome: a.outcome, Status: a.status,
+		}
+		if a.outcome == "" {
+			record.Outcome = "unanswered"
+			record.Took = s.now.Sub(a.sent)
+		} else {
+			record.Took = a.ended.Sub(a.sent)
+		}
+		out.Sends = append(out.Sends, record)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/forward/hedge.go
@@ -0,0 +1,142 @@
+package forward
+
+import "time"
+
+const (
+	// hedgeQuantile is the quantile of a route's reply times after which a part
+	// is sent to a second target. What lies above it must fit the budget.
+	hedgeQuantile = 0.93
+	// maxHedgeFraction of the goal is the latest time for a hedge: later ones
+	// come too late to help.
+	maxHedgeFraction = 0.35
+	// minHedgeDelay keeps hedges from being sent before a reply could arrive.
+	minHedgeDelay = 3 * time.Millisecond
+	// hedgeRecheck is when a hedge that found no target or budget is tried
+	// again.
+	hedgeRecheck = 15 * time.Millisecond
+)
+
+// hedgeDelay is the age from which a part without a reply is sent to a second
+// target.
+func (s *State) hedgeDelay(r *route) time.Duration {
+	latest := time.Duration(maxHedgeFraction * float64(r.config.Goal))
+	if latest <= 0 {
+		latest = r.config.Timeout / 4
+	}
+	if r.stats.replies == nil {
+		return latest
+	}
+	delay, known := r.stats.replies.Quantile(s.now, hedgeQuantile)
+	if !known {
+		return latest
+	}
+	return min(max(delay, minHedgeDelay), latest)
+}
+
+// mayHedge reports whether a second target may yet be asked for a part.
+func (p *part) mayHedge() bool {
+	config := &p.request.route.config
+	return config.Idempotent && p.phase == partSent && len(p.outstanding) > 0 &&
+		!p.hedged && p.runs < max(1, config.Attempts)
+}
+
+// fireTimer does what is due for a request.
+func (s *State) fireTimer(id RequestID) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	if r.done {
+		s.cancelLingering(r)
+		return
+	}
+	if !s.now.Before(r.deadline.Add(-answerMargin)) {
+		s.timeOut(r)
+		return
+	}
+	if !s.now.Before(r.answerBy) && s.answerPartial(r) {
+		return
+	}
+	s.refuseUnsent(r)
+	if r.done {
+		return
+	}
+	delay := s.hedgeDelay(r.route)
+	for _, p := range r.parts {
+		if p.mayHedge() && s.now.Sub(p.lastSent()) >= delay {
+			s.hedge(p)
+		}
+	}
+	s.setTimer(r)
+}
+
+func (p *part) lastSent() time.Time {
+	return p.outstanding[len(p.outstanding)-1].sent
+}
+
+// hedge sends a late part to a second target, if one is likely to answer soon
+// and the budget allows.
+func (s *State) hedge(p *part) {
+	t, _ := s.choose(p)
+	if t == nil || t.load(s.now) >= float64(t.news.Slots) {
+		return
+	}
+	if !p.pool.budget.spend(s.options.Budget, s.now, s.nodeCount()) {
+		s.counters.NoBudget++
+		return
+	}
+	p.hedged = true
+	p.request.hedges++
+	s.counters.Hedges++
+	s.send(p, t, true)
+}
+
+// refuseUnsent refuses a plain request that has waited for a connection for as
+// long as it may: the caller can then go elsewhere in time.
+func (s *State) refuseUnsent(r *request) {
+	if r.route.config.IsGather() || r.parts[0].phase != partWaiting || s.now.Before(s.unsentBy(r)) {
+		return
+	}
+	s.unqueue(r.parts[0])
+	s.fail(r, ReasonOverload)
+}
+
+// unsentBy is when a request that was sent to no target is refused.
+func (s *State) unsentBy(r *request) time.Time {
+	return r.arrived.Add(max(r.route.config.Goal/maxUnsentFraction, minRetry))
+}
+
+// maxUnsentFraction of the goal is how long a request may wait unsent.
+const maxUnsentFraction = 4
+
+// setTimer sets the request's timer to what is due next.
+func (s *State) setTimer(r *request) {
+	if r.done {
+		return
+	}
+	at := r.deadline.Add(-answerMargin)
+	if r.answerBy.After(s.now) && r.answerBy.Before(at) {
+		at = r.answerBy
+	}
+	delay := s.hedgeDelay(r.route)
+	for _, p := range r.parts {
+		switch {
+		case p.mayHedge():
+			due := p.lastSent().Add(delay)
+			if !due.After(s.now) {
+				due = s.now.Add(hedgeRecheck)
+			}
+			at = earlier(at, due)
+		case p.phase == partWaiting && !r.route.config.IsGather():
+			at = earlier(at, s.unsentBy(r))
+		}
+	}
+	s.emit(SetTimer{Request: r.id, At: at})
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/entry/forward/members.go
@@ -0,0 +1,194 @@
+package forward
+
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+const (
+	// localConnections is the part of a target's connections that the entry
+	// nodes of its own data centre share, remoteConnections that of the others.
+	// The rest is left for connections that are closing.
+	localConnections  = 0.6
+	remoteConnections = 0.3
+	// unknownConnections is the limit of a target whose pool sets none.
+	unknownConnections = 64
+	// aheadConnections are opened to each target of the own data centre before
+	// they are needed: a request that opens one waits for the round trip and
+	// for the slot that accepting it takes.
+	aheadConnections = 1
+)
+
+func (s *State) installTable(table *api.RoutingTable) {
+	if table.Version <= s.TableVersion() {
+		return
+	}
+	s.table = table
+	for _, p := range s.pools {
+		p.routed = false
+	}
+	for _, config := range table.Pools {
+		s.poolNamed(config.Name).config = config
+	}
+	s.routes = newRoutes(table, s.routes, func(name string) *pool {
+		p := s.poolNamed(name)
+		p.routed = true
+		return p
+	})
+	for _, t := range s.targets {
+		s.shareConnections(t)
+	}
+}
+
+func (s *State) poolNamed(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		s.pools[name] = p
+	}
+	return p
+}
+
+func (s *State) changeNodes(perDataCentre map[string]int) {
+	s.nodes = perDataCentre
+	if s.nodes[s.options.DataCentre] == 0 {
+		s.nodes[s.options.DataCentre] = 1
+	}
+	for _, t := range s.targets {
+		s.shareConnections(t)
+	}
+}
+
+func (s *State) changeTarget(a api.Announcement) {
+	t := s.targets[a.Target]
+	if t != nil && (a.State == api.TargetGone || t.news.Incarnation != a.Incarnation ||
+		t.news.Address != a.Address || t.news.Service != a.Service) {
+		s.removeTarget(t)
+		t = nil
+	}
+	if a.State == api.TargetGone {
+		return
+	}
+	if t == nil {
+		t = newTarget(a, s.now)
+		t.local = a.DataCentre == s.options.DataCentre
+		s.targets[a.Target] = t
+		s.poolNamed(a.Service).add(t)
+	}
+	t.news = a
+	s.shareConnections(t)
+	s.pump(t.pool)
+}
+
+// removeTarget forgets a target that is gone. Its attempts end by themselves.
+func (s *State) removeTarget(t *target) {
+	t.news.State = api.TargetGone
+	delete(s.targets, t.id())
+	t.pool.remove(t)
+	s.emit(Forget{Target: t.id()})
+	s.pump(t.pool)
+}
+
+// shareConnections takes this node's part of a target's connections.
+func (s *State) shareConnections(t *target) {
+	most := t.pool.config.MaxConnections
+	if most <= 0 {
+		most = unknownConnections
+	}
+	near := max(1, s.nodes[t.news.DataCentre])
+	share := int(localConnections * float64(most) / float64(near))
+	if !t.local {
+		share = int(remoteConnections * float64(most) / float64(max(1, s.nodeCount()-near)))
+	}
+	t.share = max(1, share)
+	ahead := 0
+	if t.local && t.accepts() && t.pool.routed {
+		ahead = aheadConnections
+	}
+	s.emit(Connect{Target: t.id(), Address: t.news.Address, Connections: t.share, Ahead: ahead})
+}
+
+// tick sends the health checks that are due.
+func (s *State) tick() {
+	for _, t := range s.targets {
+		if !t.unreachable || t.probing || !t.accepts() || s.now.Before(t.nextProbe) {
+			continue
+		}
+		t.probing = true
+		s.counters.Probes++
+		s.emit(Probe{Target: t.id(), Address: t.news.Address, Path: t.pool.config.HealthPath})
+	}
+}
+
+func (s *State) endProbe(ev ProbeEnded) {
+	t := s.targets[ev.Target]
+	if t == nil {
+		return
+	}
+	t.probing = false
+	if !t.unreachable {
+		return
+	}
+	if !ev.Healthy {
+		t.probeInterval = min(maxProbeInterval, 2*t.probeInterval)
+		t.nextProbe = s.now.Add(t.probeInterval)
+		return
+	}
+	s.reach(t)
+	s.pump(t.pool)
+}
+
+// reach takes a target back into service.
+func (s *State) reach(t *target) {
+	t.failures = 0
+	if !t.unreachable {
+		return
+	}
+	t.unreachable = false
+	s.emit(Belief{Target: t.id(), Pool: t.pool.name, Change: BeliefReachable, Slowdown: t.speed(s.now)})
+}
+
+// blame notes a failure that is the target's own.
+func (s *State) blame(t *target) {
+	t.failures++
+	if t.failures < failuresToUnreachable || t.unreachable {
+		return
+	}
+	t.unreachable = true
+	t.probeInterval = minProbeInterval
+	t.nextProbe = s.now.Add(minProbeInterval)
+	s.counters.Unreached++
+	s.emit(Belief{
+		Target: t.id(), Pool: t.pool.name, Change: BeliefUnreachable,
+		Failures: t.failures, Slowdown: t.speed(s.now),
+	})
+	s.reconsider(t.pool)
+}
+
+// reconsider gives up the waiting parts of a pool that has no usable target
+// left.
+func (s *State) reconsider(p *pool) {
+	if p.usable() {
+		return
+	}
+	waiting := p.waiting
+	p.waiting = nil
+	for _, w := range waiting {
+		w.phase = partIdle
+		if !w.request.done {
+			s.miss(w)
+		}
+	}
+}
+
+// untilProbe is when the first unreachable target of a pool may be back.
+func (s *State) untilProbe(p *pool) time.Duration {
+	soonest := maxProbeInterval
+	for _, t := range p.targets {
+		if t.accepts() && t.unreachable {
+			soonest = min(soonest, max(minProbeInterval, t.nextProbe.Sub(s.now)))
+		}
+	}
+	return soonest
+}
--- /dev/null
+++ b/internal/entry/forward/pool.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// pool is a set of targets that answer the same requests equally well.
+type pool struct {
+	name    string
+	config  api.Pool
+	targets []*target
+	budget  budget
+	// routed tells that the routing table in force sends requests to it.
+	routed bool
+	// waiting are the parts that found no connection, in the order in which
+	// they are to be served.
+	waiting []*part
+	// cursor turns the order in which equal targets are tried.
+	cursor int
+}
+
+func (p *pool) add(t *target) {
+	t.pool = p
+	p.targets = append(p.targets, t)
+	slices.SortFunc(p.targets, func(a, b *target) int {
+		return strings.Compare(string(a.id()), string(b.id()))
+	})
+}
+
+func (p *pool) remove(t *target) {
+	p.targets = slices.DeleteFunc(p.targets, func(other *target) bool { return other == t })
+}
+
+// usable reports whether some target accepts work and is reachable.
+func (p *pool) usable() bool {
+	for _, t := range p.targets {
+		if t.accepts() && !t.unreachable {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// loadSpread is the part of a request's work that each request per slot
+	// adds to a target's score while slots are free: it spreads requests over
+	// equal targets.
+	loadSpread = 0.3
+	// errorCost times a request's work is the cost of a failure: another target
+	// is asked, and what was done is lost.
+	errorCost = 8.0
+)
+
+// score is the time that a request with some work is expected to take at t.
+func (s *State) score(t *target, work time.Duration) time.Duration {
+	slots := float64(max(1, t.news.Slots))
+	load := t.load(s.now)
+	expected := float64(work) * t.speed(s.now)
+	expected += loadSpread * expected * load / slots
+	if queue := load + 1 - slots; queue > 0 {
+		expected += float64(work) * t.speed(s.now) * queue / slots
+	}
+	expected += errorCost * float64(work) * t.errorRate(s.now)
+	distance := s.distance(t)
+	return distance + time.Duration(expected) + t.stalled(s.now, distance)
+}
+
+// choose returns the target that is expected to answer a part first, and
+// whether another one may have room later. Unreachable targets are not chosen:
+// health checks bring them back.
+func (s *State) choose(p *part) (best *target, wait bool) {
+	work := s.usualWork(p.request.route)
+	var bestScore time.Duration
+	targets := p.pool.targets
+	p.pool.cursor++
+	for i := range targets {
+		t := targets[(i+p.pool.cursor)%len(targets)]
+		if !t.accepts() || t.unreachable || p.tried(t) {
+			continue
+		}
+		if !t.hasRoom() {
+			wait = true
+			continue
+		}
+		score := s.score(t, work)
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best, wait
+}
+
+// usualWork is the time that a request of the route is expected to take at a
+// target.
+func (s *State) usualWork(r *route) time.Duration {
+	if r.stats.work > 0 {
+		return r.stats.work
+	}
+	return max(minUnknownWork, r.config.Goal/unknownWorkFraction)
+}
+
+const (
+	// unknownWorkFraction of the goal is the work of a route without replies.
+	unknownWorkFraction = 8
+	minUnknownWork      = 5 * time.Millisecond
+	// defaultDistance is the round trip to another data centre before it is
+	// measured: between regions it takes some ten milliseconds.
+	defaultDistance = 20 * time.Millisecond
+	localDistance   = 500 * time.Microsecond
+)
+
+// distance is the round trip to a target.
+func (s *State) distance(t *target) time.Duration {
+	if known, ok := s.distances[t.news.DataCentre]; ok {
+		return known
+	}
+	if t.local {
+		return localDistance
+	}
+	return defaultDistance
+}
+
+// observeDistance takes the time that a connection took to open: the shortest
+// seen is the round trip.
+func (s *State) observeDistance(t *target, dialed time.Duration) {
+	if dialed <= 0 {
+		return
+	}
+	known, ok := s.distances[t.news.DataCentre]
+	if !ok || dialed < known {
+		s.distances[t.news.DataCentre] = dialed
+	}
+}
--- /dev/null
+++ b/internal/entry/forwarder/attempts.go
@@ -0,0 +1,179 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/entry/pool"
+)
+
+// probeTimeout bounds a health check: it waits for a slot like any request.
+const probeTimeout = time.Second
+
+// send runs one attempt in a goroutine of its own.
+func (n *Node) send(e forward.Send) {
+	w := n.waiters[e.Request]
+	if w == nil {
+		go n.step(forward.AttemptEnded{Attempt: e.Attempt, Outcome: forward.OutcomeNotSent})
+		return
+	}
+	// The attempt outlives its caller for a moment: cancelling it costs its
+	// connection.
+	ctx, cancel := context.WithDeadline(n.ctx, e.Deadline)
+	n.cancels[e.Attempt] = cancel
+	go func() {
+		defer cancel()
+		request := n.encode(w, e)
+		reply, err := n.pool.Send(ctx, e.Target, w.incoming.Method, request)
+		ended := n.classify(w, reply, err)
+		ended.Attempt = e.Attempt
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.cancels, e.Attempt)
+		if ended.Outcome == forward.OutcomeSuccess || ended.Outcome == forward.OutcomeFailure {
+			n.replies[e.Attempt] = &reply
+		}
+		n.stepLocked(ended)
+	}()
+}
+
+// encode returns a request as it goes to a target: method, path, headers and
+// body as the caller sent them, with what is left of the deadline.
+func (n *Node) encode(w *waiter, e forward.Send) []byte {
+	var out bytes.Buffer
+	r := w.incoming
+	out.WriteString(r.Method)
+	out.WriteByte(' ')
+	out.WriteString(r.RequestURI)
+	out.WriteString(" HTTP/1.1\r\nHost: ")
+	out.WriteString(r.Host)
+	out.WriteString("\r\n")
+	own := n.cfg.Headers
+	header := make(http.Header, len(r.Header)+3)
+	for name, values := range r.Header {
+		if !connectionOnly(name) && !named(r.Header, name) {
+			header[name] = values
+		}
+	}
+	left := max(1, time.Until(e.Deadline).Milliseconds())
+	header.Set(own.Deadline, strconv.FormatInt(left, 10))
+	header.Set(own.ExpectTarget, string(e.Target))
+	if len(w.body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		header.Set("Content-Length", strconv.Itoa(len(w.body)))
+	} else {
+		header.Del("Content-Length")
+	}
+	// Writing into a buffer can't fail.
+	_ = header.Write(&out)
+	out.WriteString("\r\n")
+	out.Write(w.body)
+	return out.Bytes()
+}
+
+// connectionOnly reports whether a header concerns one connection only.
+func connectionOnly(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect":
+		return true
+	}
+	return false
+}
+
+// named reports whether the Connection header names another header as one that
+// concerns this connection only.
+func named(header http.Header, name string) bool {
+	for _, list := range header["Connection"] {
+		for field := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(field), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// classify says what the end of an attempt means. Only a whole reply to this
+// request counts; only the target's own word is proof that it did not run.
+func (n *Node) classify(w *waiter, reply pool.Reply, err error) forward.AttemptEnded {
+	if err != nil {
+		return classifyError(err)
+	}
+	own := n.cfg.Headers
+	ended := forward.AttemptEnded{
+		Status:  reply.Status,
+		Dialed:  reply.Dialed,
+		Load:    parseLoad(reply.Header.Get(own.Load)),
+		Leaving: reply.Header.Get("Connection") == "close",
+	}
+	echoed := reply.Header.Get(own.RequestID)
+	_, notRun := reply.Header[http.CanonicalHeaderKey(own.NotRun)]
+	switch {
+	case echoed != "" && echoed != w.id:
+		ended.Outcome = forward.OutcomeBroken
+	case reply.Status == http.StatusMisdirectedRequest:
+		ended.Outcome = forward.OutcomeWrongTarget
+	case notRun:
+		ended.Outcome = forward.OutcomeNotRun
+	case echoed == "" || reply.Header.Get(own.Signature) == "" || reply.Header.Get("Content-Encoding") != "":
+		ended.Outcome = forward.OutcomeBroken
+	case reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices:
+		ended.Outcome = forward.OutcomeSuccess
+	default:
+		ended.Outcome = forward.OutcomeFailure
+	}
+	return ended
+}
+
+func classifyError(err error) forward.AttemptEnded {
+	ended := forward.AttemptEnded{Outcome: forward.OutcomeBroken}
+	var lost *pool.Error
+	if errors.As(err, &lost) {
+		ended.Dialed = lost.Dialed
+		if lost.NotSent {
+			ended.Outcome = forward.OutcomeNotSent
+			return ended
+		}
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		ended.Outcome = forward.OutcomeTimeout
+	case errors.Is(err, context.Canceled):
+		ended.Outcome = forward.OutcomeCancelled
+	}
+	return ended
+}
+
+// parseLoad reads "running,waiting,slots"; further fields are ignored.
+func parseLoad(text string) forward.LoadReport {
+	fields := strings.Split(text, ",")
+	if len(fields) < 3 {
+		return forward.LoadReport{}
+	}
+	var numbers [3]int
+	for i := range numbers {
+		number, err := strconv.Atoi(strings.TrimSpace(fields[i]))
+		if err != nil || number < 0 {
+			return forward.LoadReport{}
+		}
+		numbers[i] = number
+	}
+	return forward.LoadReport{Known: true, Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+}
+
+// probe asks a target for its health in a goroutine of its own.
+func (n *Node) probe(e forward.Probe) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
+		defer cancel()
+		request := "GET " + e.Path + " HTTP/1.1\r\nHost: " + e.Address + "\r\nConnection: close\r\n\r\n"
+		status, took, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
+		healthy := err == nil && status == http.StatusOK
+		n.step(forward.ProbeEnded{Target: e.Target, Healthy: healthy, Took: took})
+	}()
+}
--- /dev/null
+++ b/internal/entry/forwarder/effects.go
@@ -0,0 +1,151 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/telemetry"
+)
+
+// step gives one event to the reducer and carries out its effects. Nothing here
+// blocks: requests run in goroutines of their own.
+func (n *Node) step(ev forward.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stepLocked(ev)
+}
+
+func (n *Node) stepLocked(ev forward.Event) {
+	for _, effect := range n.state.Reduce(time.Now(), ev) {
+		n.carryOut(effect)
+	}
+}
+
+func (n *Node) carryOut(effect forward.Effect) {
+	switch e := effect.(type) {
+	case forward.Send:
+		n.send(e)
+	case forward.Cancel:
+		if cancel := n.cancels[e.Attempt]; cancel != nil {
+			cancel()
+		}
+	case forward.Discard:
+		delete(n.replies, e.Attempt)
+	case forward.Pass:
+		n.pass(e)
+	case forward.Merge:
+		n.merge(e)
+	case forward.Refuse:
+		n.finish(e.Request, answer{refusal: &e}, e.Status, string(e.Reason), &e.Summary)
+	case forward.Ended:
+		n.finish(e.Request, answer{}, 0, "caller_gone", &e.Summary)
+	case forward.SetTimer:
+		n.setTimer(e)
+	case forward.Connect:
+		n.pool.Configure(e.Target, e.Address, e.Connections, e.Ahead)
+	case forward.Forget:
+		n.pool.Forget(e.Target)
+	case forward.Probe:
+		n.probe(e)
+	case forward.Belief:
+		n.logBelief(e)
+	default:
+		panic(fmt.Sprintf("forwarder: effect of unknown type %T", effect))
+	}
+}
+
+func (n *Node) pass(e forward.Pass) {
+	reply := n.replies[e.Attempt]
+	delete(n.replies, e.Attempt)
+	n.finish(e.Request, answer{reply: reply}, reply.Status, "", &e.Summary)
+}
+
+func (n *Node) merge(e forward.Merge) {
+	a := answer{merged: &e}
+	for _, id := range e.Attempts {
+		a.parts = append(a.parts, n.replies[id])
+		delete(n.replies, id)
+	}
+	n.finish(e.Request, a, http.StatusOK, "", &e.Summary)
+}
+
+// finish answers a request. Its timer stays: attempts may still be under way.
+func (n *Node) finish(request forward.RequestID, a answer, status int, reason string, s *forward.Summary) {
+	w := n.waiters[request]
+	if w == nil {
+		return
+	}
+	delete(n.waiters, request)
+	if timer := n.timers[request]; timer != nil {
+		timer.Stop()
+		delete(n.timers, request)
+	}
+	n.logEnd(w, status, reason, s)
+	w.done <- a
+}
+
+func (n *Node) setTimer(e forward.SetTimer) {
+	delay := time.Until(e.At)
+	if timer := n.timers[e.Request]; timer != nil {
+		timer.Reset(delay)
+		return
+	}
+	n.timers[e.Request] = time.AfterFunc(delay, func() { n.fireTimer(e.Request) })
+}
+
+func (n *Node) fireTimer(request forward.RequestID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.waiters[request] == nil {
+		delete(n.timers, request)
+	}
+	n.stepLocked(forward.TimerFired{Request: request})
+}
+
+func (n *Node) logBelief(e forward.Belief) {
+	event := telemetry.ForwardTargetUnreachable
+	if e.Change == forward.BeliefReachable {
+		event = telemetry.ForwardTargetReachable
+	}
+	event.Log(n.logger,
+		zap.String("target", string(e.Target)),
+		zap.String("service", e.Pool),
+		zap.Int("failures", e.Failures),
+		zap.Float64("slowdown", e.Slowdown))
+}
+
+// sendRecords writes a request's attempts into its log line.
+type sendRecords []forward.SendRecord
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (s sendRecords) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for i := range s {
+		if err := enc.AppendObject((*sendRecord)(&s[i])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type sendRecord forward.SendRecord
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r *sendRecord) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("pool", r.Pool)
+	enc.AddString("target", string(r.Target))
+	enc.AddDuration("after", r.After)
+	enc.AddDuration("took", r.Took)
+	enc.AddString("outcome", r.Outcome)
+	if r.Status != 0 {
+		enc.AddInt("status", r.Status)
+	}
+	if r.Hedge {
+		enc.AddBool("hedge", true)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/gather/records_test.go
@@ -0,0 +1,35 @@
+package gather
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTopRecordsReturnsTheGreatestFalling(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for round := range 50 {
+		var replies [][]byte
+		var all [][]byte
+		for range random.IntN(6) {
+			var reply []byte
+			for range random.IntN(40) {
+				record := make([]byte, RecordBytes)
+				for i := range record {
+					record[i] = byte(random.IntN(3))
+				}
+				reply = append(reply, record...)
+				all = append(all, record)
+			}
+			// A remainder is no record.
+			replies = append(replies, append(reply, make([]byte, random.IntN(RecordBytes))...))
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		k := 1 + random.IntN(25)
+		want := bytes.Join(all[:min(k, len(all))], nil)
+		assert.Assert(t, bytes.Equal(TopRecords(replies, k), want), "round %d", round)
+	}
+}
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,10 @@
 	checkInterval = 500 * time.Millisecond
 )
 
+// keepAlive finds connections that were forgotten by something between the two
+// ends while nothing is sent on them.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
+
 // ErrUnknownTarget is returned for a target that has no connection budget.
 var ErrUnknownTarget = errors.New("target has no connection budget")
 
@@ -36,6 +41,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Dialed is how long the connection took to open, 0 for a kept one.
+	Dialed time.Duration
 }
 
 // Error is a request that got no reply.
@@ -46,6 +53,8 @@
 	Connect bool
 	// Reused tells that the connection had answered earlier requests.
 	Reused bool
+	// Dialed is as in Reply.
+	Dialed time.Duration
 	Err    error
 }
 
@@ -69,18 +78,36 @@
 	running sync.WaitGroup
 }
 
+// Option changes how a Pool works.
+type Option func(*options)
+
+type options struct{ idleChecks bool }
+
+// WithoutIdleChecks leaves idle connections alone: the pool then learns only
+// from use which of them have gone silent. It is for targets that count each
+// check as a request.
+func WithoutIdleChecks() Option {
+	return func(o *options) { o.idleChecks = false }
+}
+
 // New returns an empty pool that opens connections with dial; nil means plain
 // TCP. Close ends its checks.
-func New(dial Dial) *Pool {
+func New(dial Dial, changes ...Option) *Pool {
+	o := options{idleChecks: true}
+	for _, change := range changes {
+		change(&o)
+	}
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
 	p := &Pool{dial: dial, targets: map[api.TargetID]*target{}, stop: make(chan struct{})}
-	p.running.Add(1)
-	go p.checkIdle()
+	if o.idleChecks {
+		p.running.Add(1)
+		go p.checkIdle()
+	}
 	return p
 }
 
@@ -143,21 +170,34 @@
 	if t == nil {
 		return Reply{}, &Error{NotSent: true, Connect: true, Err: ErrUnknownTarget}
 	}
-	c, err := t.acquire(ctx)
-	if err != nil {
-		return Reply{}, &Error{NotSent: true, Connect: true, Err: err}
+	var request bytes.Buffer
+	if err := t.address(ctx, req).Write(&request); err != nil {
+		return Reply{}, &Error{NotSent: true, Err: err}
 	}
-	reused := c.proven
-	if proven && !c.proven && t.ping(c) != nil {
-		t.release(c, false)
-		return Reply{}, &Error{NotSent: true, Connect: true, Err: errors.New("a fresh connection did not answer")}
+	return t.send(ctx, req.Method, request.Bytes(), proven)
+}
+
+// Send is Do for a request that is already as it goes over the connection.
+func (p *Pool) Send(ctx context.Context, id api.TargetID, method string, request []byte) (Reply, error) {
+	t := p.find(id)
+	if t == nil {
+		return Reply{}, &Error{NotSent: true, Connect: true, Err: ErrUnknownTarget}
 	}
-	reply, sent, err := c.roundTrip(t.address(ctx, req))
-	t.release(c, err == nil)
+	return t.send(ctx, method, request, false)
+}
+
+// Probe sends a request on a connection of its own, outside the budget, and
+// returns the reply's status and how long it took with the connection.
+func (p *Pool) Probe(ctx context.Context, address, method string, request []byte) (int, time.Duration, error) {
+	began := time.Now()
+	raw, err := p.dial(ctx, address)
 	if err != nil {
-		return Reply{}, &Error{NotSent: !sent, Reused: reused, Err: err}
+		return 0, 0, err
 	}
-	return reply, nil
+	c := newConn(raw, 0)
+	defer c.close()
+	reply, _, err := c.exchange(ctx, method, request)
+	return reply.Status, time.Since(began), err
 }
 
 // Close closes all connections and ends the checks.
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -76,9 +77,7 @@
 			t.mu.Unlock()
 			return nil, errRetired
 		}
-		if n := len(t.idle); n > 0 {
-			c := t.idle[n-1]
-			t.idle = t.idle[:n-1]
+		if c := t.takeUsable(); c != nil {
 			t.mu.Unlock()
 			return c, nil
 		}
@@ -97,6 +96,45 @@
 	}
 }
 
+// takeUsable takes the connection used last, and closes those that can't be
+// used any more.
+func (t *target) takeUsable() *conn {
+	for n := len(t.idle); n > 0; n = len(t.idle) {
+		c := t.idle[n-1]
+		t.idle = t.idle[:n-1]
+		if c.usable() {
+			return c
+		}
+		t.closeLocked(c)
+	}
+	return nil
+}
+
+// send sends a request over one connection and returns the whole reply. Every
+// error is an *Error.
+func (t *target) send(ctx context.Context, method string, request []byte, proven bool) (Reply, error) {
+	c, err := t.acquire(ctx)
+	if err != nil {
+		return Reply{}, &Error{NotSent: true, Connect: true, Err: err}
+	}
+	reused := c.proven
+	var dialed time.Duration
+	if !reused {
+		dialed = c.dialed
+	}
+	if proven && !c.proven && t.ping(c) != nil {
+		t.release(c, false)
+		return Reply{}, &Error{NotSent: true, Connect: true, Err: errors.New("a fresh connection did not answer")}
+	}
+	reply, sent, err := c.exchange(ctx, method, request)
+	t.release(c, err == nil && !c.last)
+	if err != nil {
+		return Reply{}, &Error{NotSent: !sent, Reused: reused, Dialed: dialed, Err: err}
+	}
+	reply.Dialed = dialed
+	return reply, nil
+}
+
 // connect opens a connection for which a place was taken.
 func (t *target) connect(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -104,6 +142,7 @@
 	t.mu.Lock()
 	host := t.host
 	t.mu.Unlock()
+	began := time.Now()
 	raw, err := t.dial(ctx, host)
 	if err != nil {
 		t.mu.Lock()
@@ -112,7 +151,7 @@
 		t.mu.Unlock()
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, time.Since(began)), nil
 }
 
 // release gives a connection back, or closes one that is no longer good.
@@ -193,7 +232,11 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = c.roundTrip(t.address(ctx, req))
+	var request bytes.Buffer
+	if err := t.address(ctx, req).Write(&request); err != nil {
+		return err
+	}
+	_, _, err = c.exchange(ctx, req.Method, request.Bytes())
 	return err
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -11,10 +11,16 @@
 const minHeartbeats = 3
 
 func checkEntry(path string, s *Entry) error {
-	listeners := []listener{
-		{"callers", s.Listen.Callers, false},
-		{"operators", s.Listen.Operators, true},
-		{"peers", s.Listen.Peers, true},
+	listeners := []listener{{"operators", s.Listen.Operators, true}}
+	if s.Listen.Forward == "" || s.Listen.Callers != "" || s.Listen.Peers != "" {
+		listeners = append(listeners,
+			listener{"callers", s.Listen.Callers, false},
+			listener{"peers", s.Listen.Peers, true})
+	}
+	for _, l := range listeners {
+		if err := checkListen(path, l); err != nil {
+			return err
+		}
 	}
 	if err := checkListeners(path, listeners, s.TLS); err != nil {
 		return err
@@ -23,7 +29,57 @@
 	if err := used.addPeers("control", "", s.Controls); err != nil {
 		return err
 	}
-	return used.addPeers("peer", s.Node.ID, s.Peers)
+	if err := used.addPeers("peer", s.Node.ID, s.Peers); err != nil {
+		return err
+	}
+	return checkForward(path, s)
+}
+
+// checkForward checks the settings of forwarded requests.
+func checkForward(path string, s *Entry) error {
+	if err := checkOptionalAddress(path, "forward", s.Listen.Forward); err != nil {
+		return err
+	}
+	if err := checkOptionalAddress(path, "ready", s.Listen.Ready); err != nil {
+		return err
+	}
+	if s.Listen.Forward != "" && len(s.Discovery.Seeds) == 0 {
+		return &Error{File: path, Section: "discovery", Key: "seeds",
+			Detail: "is missing: an entry node that forwards requests needs control processes to begin with"}
+	}
+	return checkDiscovery(path, s.Discovery)
+}
+
+func checkListen(path string, l listener) error {
+	if l.address == "" {
+		return &Error{File: path, Section: "listen", Key: l.key, Detail: "is missing"}
+	}
+	return checkOptionalAddress(path, l.key, l.address)
+}
+
+func checkOptionalAddress(path, key, address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &Error{File: path, Section: "listen", Key: key, Detail: fmt.Sprintf("%q isn't IP:port", address)}
+	}
+	return nil
+}
+
+func checkDiscovery(path string, d Discovery) error {
+	if len(d.Seeds) == 0 {
+		return nil
+	}
+	if d.Port < 1 || d.Port > 65535 {
+		return &Error{File: path, Section: "discovery", Key: "port", Detail: fmt.Sprintf("%d isn't a port", d.Port)}
+	}
+	for _, seed := range d.Seeds {
+		if err := checkDialable(seed); err != nil {
+			return &Error{File: path, Section: "discovery", Key: "seeds", Detail: err.Error()}
+		}
+	}
+	return nil
 }
 
 func checkControl(path string, s *Control) error {
@@ -42,13 +98,19 @@
 	if err := used.addPeers("member", "", s.Members); err != nil {
 		return err
 	}
+	if err := checkDiscovery(path, s.Discovery); err != nil {
+		return err
+	}
+	if err := checkOptionalAddress(path, "targets", s.Listen.Targets); err != nil {
+		return err
+	}
 	return checkOwnMember(path, s)
 }
 
 // checkOwnMember refuses a founding member that its own list doesn't name: it
 // would found a group that it isn't part of.
 func checkOwnMember(path string, s *Control) error {
-	if s.Join {
+	if s.Join || len(s.Members) == 0 && len(s.Discovery.Seeds) > 0 {
 		return nil
 	}
 	for _, member := range s.Members {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,7 +4,12 @@
 
 // DefaultEntry returns wigeon-entry's settings before a file is read.
 func DefaultEntry() *Entry {
-	return &Entry{Limits: EntryLimits{
+	return &Entry{Forward: Forward{
+		ExtraRatio:   0.1,
+		ExtraSlack:   20,
+		ExtraWindow:  10 * time.Second,
+		ShutdownTime: 30 * time.Second,
+	}, Limits: EntryLimits{
 		BodyBytes:   1 << 20,
 		MaxDeadline: 30 * time.Second,
 		DrainTime:   2 * time.Second,
@@ -21,6 +26,11 @@
 			ElectionTimeout: 500 * time.Millisecond,
 			LedgerRetention: 24 * time.Hour,
 		},
+		Repair: Repair{
+			Voters:      3,
+			LostAfter:   1500 * time.Millisecond,
+			ForgetAfter: 30 * time.Second,
+		},
 		Group: "wigeonbay",
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,9 +36,15 @@
 
 // EntryListen holds the addresses of an entry node, IP:port each.
 type EntryListen struct {
-	Callers   string `ini:"callers" check:"required,hostport"`
+	//
+	// Callers and Peers may be left out by a node that only forwards requests.
+	Callers   string `ini:"callers"`
 	Operators string `ini:"operators" check:"required,hostport"`
-	Peers     string `ini:"peers" check:"required,hostport"`
+	Peers     string `ini:"peers"`
+	// Forward serves requests that the routing table sends on to targets, and
+	// Ready the balancer's readiness check; empty turns them off.
+	Forward string `ini:"forward"`
+	Ready   string `ini:"ready"`
 }
 
 // Telemetry says where traces go.
@@ -61,12 +67,26 @@
 	Telemetry Telemetry   `ini:"telemetry"`
 	Testing   Testing     `ini:"testing"`
 	Limits    EntryLimits `ini:"limits"`
+	Discovery Discovery   `ini:"discovery"`
+	Forward   Forward     `ini:"forward"`
 	// Controls are the control processes, from [control NAME] sections.
 	Controls []Peer `ini:"control"`
 	// Peers are other entry nodes to begin with, from [peer NAME] sections.
 	Peers []Peer `ini:"peer"`
 }
 
+// Forward bounds what a node does for forwarded requests.
+type Forward struct {
+	// ExtraRatio, ExtraSlack and ExtraWindow bound the requests that a pool of
+	// targets gets beyond the first of each: in each window at most the ratio of
+	// its requests and the slack, over all entry nodes.
+	ExtraRatio  float64       `ini:"extra_ratio"`
+	ExtraSlack  float64       `ini:"extra_slack"`
+	ExtraWindow time.Duration `ini:"extra_window" check:"positive"`
+	// ShutdownTime is how long a stopping node goes on at most.
+	ShutdownTime time.Duration `ini:"shutdown_time" check:"positive"`
+}
+
 // EntryLimits bounds what an entry node takes in.
 type EntryLimits struct {
 	// BodyBytes bounds a caller's body.
@@ -85,6 +105,30 @@
 	// Peers serves entry nodes, other replicas and operators by net/rpc.
 	Peers     string `ini:"peers" check:"required,hostport"`
 	Operators string `ini:"operators" check:"required,hostport"`
+	// Targets serves targets that announce themselves, and routing tables, by
+	// HTTP; empty turns it off.
+	Targets string `ini:"targets"`
+}
+
+// Discovery names control processes to begin with. Further ones are learned
+// from these.
+type Discovery struct {
+	// Seeds are addresses, IP:port, separated by commas. Only the IP counts.
+	Seeds []string `ini:"seeds"`
+	// Port is the peers' port of every control process.
+	Port int `ini:"port"`
+}
+
+// Repair says what the control group does about lost replicas. It needs
+// discovery: replicas then ask to be taken in by themselves.
+type Repair struct {
+	// Voters is the number of voters that the group is to have.
+	Voters int `ini:"voters" check:"positive"`
+	// LostAfter is how long a voter may be silent before a learner that waits
+	// takes its place.
+	LostAfter time.Duration `ini:"lost_after" check:"positive"`
+	// ForgetAfter is how long a learner may be silent before it is removed.
+	ForgetAfter time.Duration `ini:"forget_after" check:"positive"`
 }
 
 // Storage says where durable state lives.
@@ -114,6 +158,8 @@
 	Testing     Testing       `ini:"testing"`
 	Storage     Storage       `ini:"storage"`
 	Replication Replication   `ini:"replication"`
+	Discovery   Discovery     `ini:"discovery"`
+	Repair      Repair        `ini:"repair"`
 	// Group is the name of the control group; replicas of another are refused.
 	Group string `ini:"group" check:"required"`
 	// Join makes the process wait, as a learner, to be brought in by
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -28,12 +28,13 @@
 }
 
 // NewLogger returns a structured logger that writes JSON lines to standard
-// error, for the named process.
+// output, for the named process.
 func NewLogger(process, id string) (*zap.Logger, error) {
 	config := zap.NewProductionConfig()
 	config.Sampling = nil
 	config.DisableCaller = true
 	config.DisableStacktrace = true
+	config.OutputPaths = []string{"stdout"}
 	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
 	logger, err := config.Build()
 	if err != nil {
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -16,8 +16,22 @@
 	ControlRepaired    = Event{2009, zapcore.InfoLevel, "replica repaired", "The replacement holds everything committed and votes."}
 )
 
+// Events about targets and the routing table.
+var (
+	ControlTargetChanged      = Event{2101, zapcore.InfoLevel, "target changed", "News of a target is in force here; source tells whether it announced or departed at this process."}
+	ControlLeavingUnconfirmed = Event{2102, zapcore.WarnLevel, "leaving target not acknowledged", "The nodes in behind did not confirm in time that the target leaves. The target tells another control process; look at those nodes if it repeats."}
+	ControlWatcherJoined      = Event{2103, zapcore.InfoLevel, "node follows", "An entry node or control process polls this one for news."}
+	ControlWatcherLost        = Event{2104, zapcore.WarnLevel, "node follows no longer", "A node has not polled for more than a second; it is no longer waited for."}
+	ControlTableAccepted      = Event{2105, zapcore.InfoLevel, "routing table accepted", "A routing table of at least this version is synced by a quorum."}
+	ControlTableRefused       = Event{2106, zapcore.WarnLevel, "routing table not accepted", "The order was not acknowledged; it may still come into force. The operator sends it again."}
+	ControlMended             = Event{2107, zapcore.InfoLevel, "group mended", "The leader changed the membership by itself: a learner added, promoted, or a lost replica removed. Committed tells whether the step is in force."}
+	ControlCallFailed         = Event{2108, zapcore.WarnLevel, "call refused", "A call of an operator or a target was refused; the reason is in error."}
+)
+
 // ControlEvents lists the events of this file, for the catalogue.
 var ControlEvents = []Event{
 	ControlStarted, ControlStopped, ControlRecovered, ControlRole, ControlFailed,
 	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired, ControlSnapshot,
+	ControlTargetChanged, ControlLeavingUnconfirmed, ControlWatcherJoined, ControlWatcherLost,
+	ControlTableAccepted, ControlTableRefused, ControlMended, ControlCallFailed,
 }
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -14,8 +14,26 @@
 	EntryRecordFailed     = Event{1201, zapcore.ErrorLevel, "outcome not recorded", "The outcome of a non-idempotent request could not be recorded; resends with its key are told that it may have run."}
 )
 
+// Events of forwarded requests.
+var (
+	ForwardStarted           = Event{1301, zapcore.InfoLevel, "forwarding started", "The node listens for callers and asks the control processes for targets and the routing table."}
+	ForwardStopped           = Event{1302, zapcore.InfoLevel, "forwarding stopped", "The node has finished its shutdown; in_progress is the number of requests that it could not wait for."}
+	ForwardDraining          = Event{1303, zapcore.InfoLevel, "draining", "The node reports itself not ready and goes on serving until nothing comes any more."}
+	ForwardReloaded          = Event{1304, zapcore.InfoLevel, "settings reloaded", "The settings were read again; the control processes in controls are followed besides the known ones."}
+	ForwardTableInForce      = Event{1305, zapcore.InfoLevel, "routing table in force", "A higher version of the routing table decides about requests from now on."}
+	ForwardTableUnusable     = Event{1306, zapcore.ErrorLevel, "routing table unusable", "A routing table from a control process can't be read; the one before stays in force. Report it: it was checked when it was accepted."}
+	ForwardTargetChanged     = Event{1307, zapcore.InfoLevel, "target changed", "News of a target is in force on this node."}
+	ForwardTargetUnreachable = Event{1308, zapcore.WarnLevel, "target unreachable", "Requests to the target failed in a row; it gets health checks until one succeeds."}
+	ForwardTargetReachable   = Event{1309, zapcore.InfoLevel, "target reachable", "The target answers again and takes requests."}
+	ForwardRequestEnded      = Event{1310, zapcore.InfoLevel, "request ended", "What was decided about a request: its route, each target asked with the time, outcome and status, and how it ended. Status 0 means that the caller had gone."}
+	ForwardRequestRejected   = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large."}
+)
+
 // EntryEvents lists the events of this file, for the catalogue.
 var EntryEvents = []Event{
 	EntryStarted, EntryStopped, EntryTargetEjected, EntryTargetReturned, EntryTargetSuspect,
 	EntrySilentConnection, EntryForeignReply, EntryRecordFailed,
+	ForwardStarted, ForwardStopped, ForwardDraining, ForwardReloaded, ForwardTableInForce,
+	ForwardTableUnusable, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
+	ForwardRequestEnded, ForwardRequestRejected,
 }
--- a/internal/telemetry/events_membership.go
+++ b/internal/telemetry/events_membership.go
@@ -24,6 +24,12 @@
 	ConfigConfirmed           = Event{3107, zapcore.InfoLevel, "configuration confirmed again", "A control quorum confirms the configuration again."}
 )
 
+// Events of nodes that follow control processes.
+var (
+	WatchLost     = Event{3201, zapcore.WarnLevel, "control process lost", "Polls of the control process fail. News comes from the others meanwhile; look at its machine and the network if it stays."}
+	WatchRegained = Event{3202, zapcore.InfoLevel, "control process regained", "The control process answers polls."}
+)
+
 // MembershipEvents lists the events of this file, for the catalogue.
 var MembershipEvents = []Event{
 	MembershipMemberJoined, MembershipMemberSuspected,
@@ -32,4 +38,5 @@
 	MembershipLeaveDone,
 	ConfigApplied, ConfigReady, ConfigReadyUnconfirmed, ConfigMoved, ConfigBadDelta,
 	ConfigUnconfirmed, ConfigConfirmed,
+	WatchLost, WatchRegained,
 }
--- a/internal/tools/architecture/architecture_test.go
+++ b/internal/tools/architecture/architecture_test.go
@@ -68,7 +68,7 @@
 func readSources(t *testing.T) map[string]*source {
 	t.Helper()
 	sources := map[string]*source{}
-	for _, top := range []string{"cmd", "internal"} {
+	for _, top := range []string{"cmd", "internal", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, top), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
