Requests stay in their own data centre while its targets keep up; a stop refuses before it runs out of time

Each pause of a searcher gave a bunch of late replies, which the moving average of its speed took for slowness. Ruled out: the load term (a local target has 0.3 requests of ours on average) and the distances (measured 16 ms). Change: one late reply in 300 ms counts, deviations within the spread of the work count as none, a target elsewhere must be 5 ms faster.

Change: after 0.48 of the shutdown time requests are refused with 503, and what is left is answered before the end.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -74,10 +74,14 @@
 	r.answerBy = r.deadline
 	if r.route.config.IsGather() && r.route.config.Goal > 0 {
 		goal := r.route.config.Goal
-		r.answerBy = r.arrived.Add(goal - min(max(goal/goalMarginFraction, minGoalMargin), maxGoalMargin))
+		r.answerBy = r.arrived.Add(goal - goalMargin(goal))
 	}
 }
 
+func goalMargin(goal time.Duration) time.Duration {
+	return min(max(goal/goalMarginFraction, minGoalMargin), maxGoalMargin)
+}
+
 // needed is the number of parts without which an answer fails.
 func (r *request) needed() int {
 	const rounding = 1e-9
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -115,6 +115,7 @@
 	ReasonTimeout     Reason = "timeout"
 	ReasonExpired     Reason = "deadline_passed"
 	ReasonFailed      Reason = "attempts_failed"
+	ReasonShutdown    Reason = "shutting_down"
 )
 
 // Summary is the record of a request's decisions, for the log.
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -107,6 +107,9 @@
 	Took time.Duration
 }
 
+// ShuttingDown ends the requests that are left: the process is about to end.
+type ShuttingDown struct{}
+
 // Tick drives what happens at regular times.
 type Tick struct{}
 
@@ -118,4 +121,5 @@
 func (TimerFired) event()     {}
 func (AttemptEnded) event()   {}
 func (ProbeEnded) event()     {}
+func (ShuttingDown) event()   {}
 func (Tick) event()           {}
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -156,6 +158,23 @@
 	s.finish(r, lingerTime)
 }
 
+// endAll answers what is left before the process ends: a closed connection
+// would tell the callers less.
+func (s *State) endAll() {
+	var open []*request
+	for _, r := range s.requests {
+		if !r.done {
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	for _, r := range open {
+		if !r.done {
+			s.timeOut(r)
+		}
+	}
+}
+
 // callerGone ends a request that nobody waits for.
 func (s *State) callerGone(id RequestID) {
 	r := s.requests[id]
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -6,9 +6,11 @@
 	// hedgeQuantile is the quantile of a route's reply times after which a part
 	// is sent to a second target. What lies above it must fit the budget.
 	hedgeQuantile = 0.93
-	// maxHedgeFraction of the goal is the latest time for a hedge: later ones
-	// come too late to help.
-	maxHedgeFraction = 0.35
+	// hedgeWork times a route's usual work is what a hedge needs before the goal,
+	// beside the way to another data centre: later ones come too late to help.
+	hedgeWork = 1.5
+	// unknownHedgeFraction of the goal is the delay while that is unknown.
+	unknownHedgeFraction = 4
 	// minHedgeDelay keeps hedges from being sent before a reply could arrive.
 	minHedgeDelay = 3 * time.Millisecond
 	// hedgeRecheck is when a hedge that found no target or budget is tried
@@ -19,18 +21,19 @@
 // hedgeDelay is the age from which a part without a reply is sent to a second
 // target.
 func (s *State) hedgeDelay(r *route) time.Duration {
-	latest := time.Duration(maxHedgeFraction * float64(r.config.Goal))
-	if latest <= 0 {
-		latest = r.config.Timeout / 4
+	goal := r.config.Goal
+	if goal <= 0 {
+		goal = r.config.Timeout
 	}
 	if r.stats.replies == nil {
-		return latest
+		return goal / unknownHedgeFraction
 	}
 	delay, known := r.stats.replies.Quantile(s.now, hedgeQuantile)
 	if !known {
-		return latest
+		return goal / unknownHedgeFraction
 	}
-	return min(max(delay, minHedgeDelay), latest)
+	latest := goal - goalMargin(goal) - defaultDistance - time.Duration(hedgeWork*float64(s.usualWork(r)))
+	return max(minHedgeDelay, min(delay, latest))
 }
 
 // mayHedge reports whether a second target may yet be asked for a part.
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -53,6 +53,9 @@
 	// errorCost times a request's work is the cost of a failure: another target
 	// is asked, and what was done is lost.
 	errorCost = 8.0
+	// remotePenalty is what a target in another data centre must be faster by,
+	// beyond the way there: traffic between regions is dear.
+	remotePenalty = 5 * time.Millisecond
 )
 
 // score is the time that a request with some work is expected to take at t.
@@ -66,6 +69,9 @@
 	}
 	expected += errorCost * float64(work) * t.errorRate(s.now)
 	distance := s.distance(t)
+	if !t.local {
+		expected += float64(remotePenalty)
+	}
 	return distance + time.Duration(expected) + t.stalled(s.now, distance)
 }
 
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -188,6 +188,8 @@
 		s.endAttempt(ev)
 	case ProbeEnded:
 		s.endProbe(ev)
+	case ShuttingDown:
+		s.endAll()
 	case Tick:
 		s.tick()
 	default:
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -7,19 +7,29 @@
 )
 
 const (
-	// speedWeight is the weight of the newest reply in a target's slowdown.
-	speedWeight = 0.2
+	// speedWeight is the weight of the newest reply in a target's slowdown, and
+	// lateWeight that of a late one. Late replies come in bunches when a target
+	// pauses, so only one in lateInterval counts.
+	speedWeight  = 0.08
+	lateWeight   = 0.15
+	lateInterval = 300 * time.Millisecond
 	// speedHalfLife is the time in which half of what is known of a target's
 	// speed is forgotten while it gets no requests: a target that was slow is
 	// tried again in the end.
-	speedHalfLife = 3 * time.Second
+	speedHalfLife = 1500 * time.Millisecond
+	// slowerBand and fasterBand are the deviations from the usual speed that
+	// count as none: work differs from request to request by as much.
+	slowerBand = 0.25
+	fasterBand = 0.15
+	// errorWeight is the weight of the newest outcome in the part of errors.
+	errorWeight = 0.2
 	// errorHalfLife is the same for the part of failed requests.
 	errorHalfLife = 4 * time.Second
 	// coldSlowdown is what a target that has just started is expected to take.
 	coldSlowdown = 1.6
 	// maxSlowdown bounds the measured slowdown, so that one stuck reply does not
 	// keep a target out for long.
-	maxSlowdown = 20.0
+	maxSlowdown = 8.0
 	// loadReportAge is how long a target's report of its load counts.
 	loadReportAge = 250 * time.Millisecond
 	// stallFactor times the expected time of a request is the age from which
@@ -49,6 +59,7 @@
 	// speedAt.
 	slowdown float64
 	speedAt  time.Time
+	lateAt   time.Time
 	// errors is the moving part of failed requests, as of errorsAt.
 	errors   float64
 	errorsAt time.Time
@@ -102,6 +113,18 @@
 // speed returns the slowdown that is expected now: what was measured fades
 // towards the usual.
 func (t *target) speed(now time.Time) float64 {
+	deviation := t.measured(now) - 1
+	switch {
+	case deviation > slowerBand:
+		return 1 + deviation - slowerBand
+	case deviation < -fasterBand:
+		return 1 + deviation + fasterBand
+	default:
+		return 1
+	}
+}
+
+func (t *target) measured(now time.Time) float64 {
 	return 1 + (t.slowdown-1)*halved(now.Sub(t.speedAt), speedHalfLife)
 }
 
@@ -129,7 +152,16 @@
 		return
 	}
 	sample := min(max(float64(work)/float64(usual), 0), maxSlowdown)
-	t.slowdown = t.speed(now) + speedWeight*(sample-t.speed(now))
+	weight := speedWeight
+	if sample > stallFactor {
+		if now.Sub(t.lateAt) < lateInterval {
+			return
+		}
+		t.lateAt = now
+		weight = lateWeight
+	}
+	before := t.measured(now)
+	t.slowdown = before + weight*(sample-before)
 	t.speedAt = now
 }
 
@@ -138,7 +170,7 @@
 	if failed {
 		sample = 1
 	}
-	t.errors = t.errorRate(now) + speedWeight*(sample-t.errorRate(now))
+	t.errors = t.errorRate(now) + errorWeight*(sample-t.errorRate(now))
 	t.errorsAt = now
 }
 
--- a/internal/entry/forwarder/news.go
+++ b/internal/entry/forwarder/news.go
@@ -24,6 +24,7 @@
 			telemetry.ForwardTargetChanged.Log(n.logger,
 				zap.String("target", string(changed.Target)),
 				zap.String("service", changed.Service),
+				zap.String("data_centre", changed.DataCentre),
 				zap.String("state", string(changed.State)),
 				zap.Uint64("incarnation", changed.Incarnation),
 				zap.Uint64("sequence", changed.Sequence),
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -72,6 +72,7 @@
 	lastRequest atomic.Uint64
 	tableHeld   atomic.Uint64
 	draining    atomic.Bool
+	refusing    atomic.Bool
 	lastServed  atomic.Int64
 	ctx         context.Context
 	stop        context.CancelFunc
@@ -148,10 +149,13 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.draining.Store(true)
 	telemetry.ForwardDraining.Log(n.logger, zap.Int("in_progress", n.InProgress()))
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Forward.ShutdownTime)
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Forward.ShutdownTime-endMargin)
 	defer cancel()
 	n.awaitQuiet(ctx)
-	err := n.callers.Shutdown(ctx)
+	n.step(forward.ShuttingDown{})
+	ending, cancelEnding := context.WithTimeout(context.Background(), endMargin/2)
+	defer cancelEnding()
+	err := n.callers.Shutdown(ending)
 	_ = n.checks.Close()
 	n.stop()
 	n.follow.Stop()
@@ -163,20 +167,34 @@
 }
 
 // awaitQuiet waits until no request has come for quietTime since the balancer
-// has had time to notice.
+// has had time to notice. A balancer without another node sends requests all
+// the same: those that come in the second half of the time are refused, so that
+// what was taken can be finished.
 func (n *Node) awaitQuiet(ctx context.Context) {
+	refuseAt := time.Now().Add(time.Duration(takeFraction * float64(n.cfg.Settings.Forward.ShutdownTime)))
 	sleep(ctx, n.cfg.Settings.Limits.DrainTime)
 	for ctx.Err() == nil {
 		last := time.Unix(0, n.lastServed.Load())
-		if n.InProgress() == 0 && time.Since(last) >= quietTime {
+		quiet := time.Since(last) >= quietTime || n.refusing.Load()
+		if n.InProgress() == 0 && quiet {
 			return
 		}
+		n.refusing.Store(!time.Now().Before(refuseAt))
 		sleep(ctx, quietTime/10)
 	}
 }
 
-// quietTime is how long no request may have come before the node ends.
-const quietTime = 500 * time.Millisecond
+const (
+	// quietTime is how long no request may have come before the node ends.
+	quietTime = 500 * time.Millisecond
+	// takeFraction is the part of the shutdown time in which requests are taken.
+	takeFraction = 0.48
+	// endMargin is kept of the shutdown time for the last answers.
+	endMargin = 600 * time.Millisecond
+	// shutdownRetry is when a caller that was refused for the shutdown should
+	// come back: another node takes its next connection.
+	shutdownRetry = 50 * time.Millisecond
+)
 
 // InProgress returns the number of requests without an answer.
 func (n *Node) InProgress() int {
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -42,6 +42,15 @@
 	if n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if n.refusing.Load() {
+		telemetry.ForwardRequestRejected.Log(n.logger,
+			zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)),
+			zap.Int("status", http.StatusServiceUnavailable))
+		n.writeRefusal(w, &forward.Refuse{
+			Status: http.StatusServiceUnavailable, Reason: forward.ReasonShutdown, RetryAfter: shutdownRetry,
+		})
+		return
+	}
 	arrived := time.Now()
 	body, status := n.readBody(w, r)
 	if status != 0 {
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -26,7 +26,7 @@
 	ForwardTargetUnreachable = Event{1308, zapcore.WarnLevel, "target unreachable", "Requests to the target failed in a row; it gets health checks until one succeeds."}
 	ForwardTargetReachable   = Event{1309, zapcore.InfoLevel, "target reachable", "The target answers again and takes requests."}
 	ForwardRequestEnded      = Event{1310, zapcore.InfoLevel, "request ended", "What was decided about a request: its route, each target asked with the time, outcome and status, and how it ended. Status 0 means that the caller had gone."}
-	ForwardRequestRejected   = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large."}
+	ForwardRequestRejected   = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large, or the node shuts down (503)."}
 )
 
 // EntryEvents lists the events of this file, for the catalogue.
