After a stop of everything: the first election is early, dials don't hang, ghosts leave room

Ruled out: recovery of the log (3 ms).

Change: a dial ends after 400 ms; a replica that has heard no leader since its start stands after two heartbeats, by pre-vote; a node uses at most two connections more than a target's slots and gives up idle ones; a reset of a fresh connection means that the target is full; a request that must not run twice waits for that reset before it is sent; a node without a routing table says to come back in 0.9 s.

--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -147,6 +147,7 @@
 		Boot:            rand.Uint64(),
 		Heartbeat:       n.set.Replication.Heartbeat,
 		ElectionTimeout: n.set.Replication.ElectionTimeout,
+		FirstElection:   firstElectionBeats * n.set.Replication.Heartbeat,
 		MaxBatchEntries: min(replica.DefaultMaxBatchEntries, n.o.GroupCommit),
 		MaxBatchBytes:   replica.DefaultMaxBatchBytes,
 		MaxInflight:     replica.DefaultMaxInflight,
--- a/internal/control/driver/options.go
+++ b/internal/control/driver/options.go
@@ -33,6 +33,9 @@
 	defaultGroupCommit = 256
 	// ticksPerHeartbeat sets the resolution of the protocol's clock.
 	ticksPerHeartbeat = 5
+	// firstElectionBeats is the number of heartbeats in which a replica that has
+	// just started would hear a leader, if there were one.
+	firstElectionBeats = 2
 	// inboxSize bounds the events that wait for the protocol's goroutine.
 	inboxSize = 1024
 	// queueSize bounds the proposals and reads that wait for the loop.
--- a/internal/control/replica/elect.go
+++ b/internal/control/replica/elect.go
@@ -4,7 +4,11 @@
 
 // tickFollower starts an election when no leader was heard for long.
 func (s *State) tickFollower(jitter float64) {
-	timeout := s.cfg.ElectionTimeout + time.Duration(s.jitter*float64(s.cfg.ElectionTimeout))
+	wait := s.cfg.ElectionTimeout
+	if !s.heardLeader && s.cfg.FirstElection > 0 {
+		wait = s.cfg.FirstElection
+	}
+	timeout := wait + time.Duration(s.jitter*float64(wait))
 	if s.now-s.electionBase < timeout {
 		return
 	}
--- a/internal/control/replica/follow.go
+++ b/internal/control/replica/follow.go
@@ -59,6 +59,7 @@
 		s.becomeFollower(leader)
 	}
 	s.electionBase = s.now
+	s.heardLeader = true
 }
 
 // matches reports whether the log holds the entry at index with term. What is
--- a/internal/control/replica/state.go
+++ b/internal/control/replica/state.go
@@ -24,7 +24,9 @@
 	// election timeout counts.
 	now          time.Duration
 	electionBase time.Duration
-	jitter       float64
+	// heardLeader tells that a leader was heard since the start.
+	heardLeader bool
+	jitter      float64
 	// currentAt is the latest time at which this replica is known to have
 	// been current with a quorum; 0 means never.
 	currentAt time.Duration
@@ -82,6 +84,10 @@
 // caller has restored the state machine from the snapshot.
 func New(cfg Config, disk Restored) *State {
 	s := &State{cfg: cfg, hard: disk.HardState}
+	if cfg.FirstElection > 0 {
+		// Replicas that start together must not all stand together.
+		s.jitter = float64(cfg.Boot%1024) / 1024
+	}
 	s.log.reset(disk.Snapshot)
 	s.log.entries = disk.Entries
 	s.commit = disk.Snapshot.Index
--- a/internal/control/replica/types.go
+++ b/internal/control/replica/types.go
@@ -152,6 +152,11 @@
 	// ElectionTimeout is how long a follower waits for a leader, before
 	// jitter, and how long a leader goes on without a quorum.
 	ElectionTimeout time.Duration
+	// FirstElection is how long a replica that has heard no leader since its
+	// start waits for one, before jitter; 0 stands for ElectionTimeout. After a
+	// stop of all replicas nothing can be decided until one of them stands. A
+	// pre-vote that comes too early disturbs nobody.
+	FirstElection time.Duration
 	// MaxBatchEntries and MaxBatchBytes bound one AppendRequest.
 	MaxBatchEntries int
 	MaxBatchBytes   int
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -15,9 +15,10 @@
 	goalMarginFraction = 8
 	minGoalMargin      = 10 * time.Millisecond
 	maxGoalMargin      = 25 * time.Millisecond
-	// startRetry is when to come back to a node without a routing table: one
-	// comes with the first reply of a control process.
-	startRetry = 300 * time.Millisecond
+	// startRetry is when to come back to a node without a routing table: after a
+	// stop of everything one comes when the control group has a leader and the
+	// targets have announced themselves again.
+	startRetry = 900 * time.Millisecond
 	// minRetry is the shortest time that a refused caller is told.
 	minRetry = 50 * time.Millisecond
 )
@@ -195,5 +196,5 @@
 	t.outstanding = append(t.outstanding, a)
 	r.sends = append(r.sends, a)
 	s.counters.Sends++
-	s.emit(Send{Request: r.id, Attempt: a.id, Target: t.id(), Deadline: r.deadline.Add(-answerMargin / 2)})
+	s.emit(Send{Request: r.id, Attempt: a.id, Target: t.id(), Deadline: r.deadline.Add(-answerMargin / 2), Once: !r.route.config.Idempotent})
 }
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -16,6 +16,8 @@
 	Target  api.TargetID
 	// Deadline is when the target is to stop work; the attempt ends then.
 	Deadline time.Time
+	// Once tells that the request must not run twice.
+	Once bool
 }
 
 // Cancel gives up an attempt; its connection is closed.
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -58,6 +58,9 @@
 	OutcomeWrongTarget
 	// OutcomeNotSent is proof that no byte of the request left.
 	OutcomeNotSent
+	// OutcomeNoRoom is OutcomeNotSent because the target resets new connections:
+	// it is at its limit.
+	OutcomeNoRoom
 	// OutcomeBroken is a reply that is cut off, spoilt, unsigned or another
 	// request's, or a connection that broke: the request may have run.
 	OutcomeBroken
@@ -70,13 +73,18 @@
 // String returns the outcome as operators see it.
 func (o Outcome) String() string {
 	return [...]string{
-		"success", "failure", "not_run", "wrong_target", "not_sent", "broken", "timeout", "cancelled",
+		"success", "failure", "not_run", "wrong_target", "not_sent", "no_room", "broken", "timeout", "cancelled",
 	}[o]
 }
 
 // MayHaveRun reports whether the target may have worked on the request.
 func (o Outcome) MayHaveRun() bool {
-	return o != OutcomeNotRun && o != OutcomeWrongTarget && o != OutcomeNotSent
+	return o != OutcomeNotRun && o != OutcomeWrongTarget && !o.Unsent()
+}
+
+// Unsent reports whether certainly no byte of the request left.
+func (o Outcome) Unsent() bool {
+	return o == OutcomeNotSent || o == OutcomeNoRoom
 }
 
 // LoadReport is what a target says of its load with a reply.
@@ -95,6 +103,9 @@
 	Load    LoadReport
 	// Leaving tells that the target closes the connection by its own word.
 	Leaving bool
+	// FreshReset tells that the target reset a connection that had just been
+	// opened, as one at its limit does.
+	FreshReset bool
 	// Dialed is how long the connection took to open, 0 for one that was kept.
 	Dialed time.Duration
 }
--- a/internal/entry/forward/members.go
+++ b/internal/entry/forward/members.go
@@ -9,9 +9,13 @@
 const (
 	// localConnections is the part of a target's connections that the entry
 	// nodes of its own data centre share, remoteConnections that of the others.
-	// The rest is left for connections that are closing.
-	localConnections  = 0.6
-	remoteConnections = 0.3
+	// The rest is left for connections that are closing, and for those that a
+	// target still counts after a node has lost its power.
+	localConnections  = 0.45
+	remoteConnections = 0.2
+	// spareConnections is how many more than a target's slots one node uses:
+	// what waits for a slot can wait here as well, and go elsewhere.
+	spareConnections = 2
 	// unknownConnections is the limit of a target whose pool sets none.
 	unknownConnections = 64
 	// aheadConnections are opened to each target of the own data centre before
@@ -101,7 +105,7 @@
 	if !t.local {
 		share = int(remoteConnections * float64(most) / float64(max(1, s.nodeCount()-near)))
 	}
-	t.share = max(1, share)
+	t.share = max(1, min(share, t.news.Slots+spareConnections))
 	ahead := 0
 	if t.local && t.accepts() && t.pool.routed {
 		ahead = aheadConnections
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -88,7 +88,7 @@
 		if !t.accepts() || t.unreachable || p.tried(t) {
 			continue
 		}
-		if !t.hasRoom() {
+		if !t.hasRoom(s.now) {
 			wait = true
 			continue
 		}
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -48,7 +48,11 @@
 		t.observeError(s.now, false)
 		a.part.request.route.stats.observe(s.now, took, min(work, maxUsualWork(a)))
 	case OutcomeFailure, OutcomeBroken:
-		t.observeError(s.now, true)
+		if ev.FreshReset {
+			t.fullUntil = s.now.Add(fullPause)
+		} else {
+			t.observeError(s.now, true)
+		}
 	case OutcomeNotRun:
 		// A target that is full answers at once: it is sound.
 		s.reach(t)
@@ -57,6 +61,8 @@
 		// The address has another holder: this target is no more.
 		s.blame(t)
 		s.blame(t)
+	case OutcomeNoRoom:
+		t.fullUntil = s.now.Add(fullPause)
 	case OutcomeNotSent, OutcomeTimeout:
 		s.blame(t)
 	case OutcomeCancelled:
@@ -75,6 +81,8 @@
 	// against a target that has answered nothing since: longer than the usual
 	// pauses.
 	minUnreachedCancel = 350 * time.Millisecond
+	// fullPause is how long no new connection to a target at its limit is tried.
+	fullPause = 150 * time.Millisecond
 	// usualWorkBound times the expected work bounds what one reply adds to a
 	// route's usual work: pauses and slow targets aren't usual.
 	usualWorkBound = 4
@@ -94,11 +102,11 @@
 	if !ev.Outcome.MayHaveRun() {
 		p.runs--
 	}
-	if ev.Outcome == OutcomeNotSent {
+	if ev.Outcome.Unsent() {
 		p.sends--
 	}
 	p.request.ran = p.request.ran || ev.Outcome.MayHaveRun()
-	p.request.offered = p.request.offered || ev.Outcome != OutcomeNotSent
+	p.request.offered = p.request.offered || !ev.Outcome.Unsent()
 	switch {
 	case p.phase == partAnswered:
 		s.emit(Discard{Attempt: a.id})
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -66,6 +66,8 @@
 	// busy is how many requests of others it reported, at reportedAt.
 	busy       int
 	reportedAt time.Time
+	// fullUntil is until when it takes no further connections.
+	fullUntil time.Time
 	// heard is when it last answered a request.
 	heard time.Time
 
@@ -88,7 +90,14 @@
 
 func (t *target) accepts() bool { return t.news.State.AcceptsWork() }
 
-func (t *target) hasRoom() bool { return len(t.outstanding) < t.share }
+// hasRoom reports whether one more request may be sent now. A target at its
+// limit of connections keeps those that it has.
+func (t *target) hasRoom(now time.Time) bool {
+	if now.Before(t.fullUntil) {
+		return len(t.outstanding) == 0
+	}
+	return len(t.outstanding) < t.share
+}
 
 // excuseOvertaken notes that the target answered a while requests sent earlier
 // stayed unanswered: not the target is late with those, but their connection or
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"wigeonbay/internal/entry/forward"
@@ -30,7 +31,11 @@
 	go func() {
 		defer cancel()
 		request := n.encode(w, e)
-		reply, err := n.pool.Send(ctx, e.Target, w.incoming.Method, request)
+		proof := pool.ProofNone
+		if e.Once {
+			proof = pool.ProofOpen
+		}
+		reply, err := n.pool.Send(ctx, e.Target, w.incoming.Method, request, proof)
 		ended := n.classify(w, reply, err)
 		ended.Attempt = e.Attempt
 		n.mu.Lock()
@@ -135,8 +140,12 @@
 	var lost *pool.Error
 	if errors.As(err, &lost) {
 		ended.Dialed = lost.Dialed
+		ended.FreshReset = lost.Dialed > 0 && errors.Is(err, syscall.ECONNRESET)
 		if lost.NotSent {
 			ended.Outcome = forward.OutcomeNotSent
+			if ended.FreshReset {
+				ended.Outcome = forward.OutcomeNoRoom
+			}
 			return ended
 		}
 	}
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -24,6 +24,12 @@
 	pingTimeout = 200 * time.Millisecond
 	// checkInterval is the time between two rounds of checks.
 	checkInterval = 500 * time.Millisecond
+	// trimAfter is the idle time after which a connection beyond those that are
+	// kept is closed.
+	trimAfter = 1500 * time.Millisecond
+	// resetMargin is added to the time that a connection took to open, for a
+	// reset to arrive.
+	resetMargin = 2 * time.Millisecond
 )
 
 // keepAlive finds connections that were forgotten by something between the two
@@ -174,16 +180,32 @@
 	if err := t.address(ctx, req).Write(&request); err != nil {
 		return Reply{}, &Error{NotSent: true, Err: err}
 	}
-	return t.send(ctx, req.Method, request.Bytes(), proven)
+	proof := ProofNone
+	if proven {
+		proof = ProofReply
+	}
+	return t.send(ctx, req.Method, request.Bytes(), proof)
 }
 
+// Proof says what must be known of a connection before a request is sent on it.
+type Proof uint8
+
+// Proofs.
+const (
+	ProofNone Proof = iota
+	// ProofOpen asks that the target has not reset a fresh connection.
+	ProofOpen
+	// ProofReply asks that the target has answered on the connection before.
+	ProofReply
+)
+
 // Send is Do for a request that is already as it goes over the connection.
-func (p *Pool) Send(ctx context.Context, id api.TargetID, method string, request []byte) (Reply, error) {
+func (p *Pool) Send(ctx context.Context, id api.TargetID, method string, request []byte, proof Proof) (Reply, error) {
 	t := p.find(id)
 	if t == nil {
 		return Reply{}, &Error{NotSent: true, Connect: true, Err: ErrUnknownTarget}
 	}
-	return t.send(ctx, method, request, false)
+	return t.send(ctx, method, request, proof)
 }
 
 // Probe sends a request on a connection of its own, outside the budget, and
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -19,10 +20,13 @@
 type target struct {
 	dial Dial
 
-	mu      sync.Mutex
-	host    string
-	most    int
-	opened  int
+	mu     sync.Mutex
+	host   string
+	most   int
+	opened int
+	// kept is the number of idle connections that are held on to.
+	kept int
+	// idle are in the order of their last use.
 	idle    []*conn
 	retired bool
 	// freed is closed and replaced whenever a connection or a place for one
@@ -50,6 +54,9 @@
 
 // open opens connections ahead of need until expected are there.
 func (t *target) open(expected int) {
+	t.mu.Lock()
+	t.kept = max(1, expected)
+	t.mu.Unlock()
 	for {
 		t.mu.Lock()
 		full := t.retired || t.opened >= expected || t.opened >= t.most
@@ -112,7 +119,7 @@
 
 // send sends a request over one connection and returns the whole reply. Every
 // error is an *Error.
-func (t *target) send(ctx context.Context, method string, request []byte, proven bool) (Reply, error) {
+func (t *target) send(ctx context.Context, method string, request []byte, proof Proof) (Reply, error) {
 	c, err := t.acquire(ctx)
 	if err != nil {
 		return Reply{}, &Error{NotSent: true, Connect: true, Err: err}
@@ -122,9 +129,9 @@
 	if !reused {
 		dialed = c.dialed
 	}
-	if proven && !c.proven && t.ping(c) != nil {
+	if err := t.prove(ctx, c, proof); err != nil {
 		t.release(c, false)
-		return Reply{}, &Error{NotSent: true, Connect: true, Err: errors.New("a fresh connection did not answer")}
+		return Reply{}, &Error{NotSent: true, Connect: true, Dialed: dialed, Err: err}
 	}
 	reply, sent, err := c.exchange(ctx, method, request)
 	t.release(c, err == nil && !c.last)
@@ -135,6 +142,32 @@
 	return reply, nil
 }
 
+// prove makes sure that a fresh connection was taken by the target, as far as
+// the request asks for it.
+func (t *target) prove(ctx context.Context, c *conn, proof Proof) error {
+	if c.proven || proof == ProofNone {
+		return nil
+	}
+	if proof == ProofReply {
+		if t.ping(c) != nil {
+			return errors.New("a fresh connection did not answer")
+		}
+		return nil
+	}
+	// A target at its limit resets the connection a round trip after it opened.
+	timer := time.NewTimer(c.dialed + resetMargin)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !c.quiet() {
+		return syscall.ECONNRESET
+	}
+	return nil
+}
+
 // connect opens a connection for which a place was taken.
 func (t *target) connect(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -163,9 +196,20 @@
 	} else {
 		t.idle = append(t.idle, c)
 	}
+	t.trimLocked()
 	t.signalLocked()
 }
 
+// trimLocked closes the connection that has been idle for longest, when it is
+// not needed: the target counts it against its limit, also after this node has
+// lost its power.
+func (t *target) trimLocked() {
+	if len(t.idle) > t.kept && time.Since(t.idle[0].lastUsed) > trimAfter {
+		t.closeLocked(t.idle[0])
+		t.idle = t.idle[1:]
+	}
+}
+
 // retire closes the idle connections and refuses further use.
 func (t *target) retire() {
 	t.mu.Lock()
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -15,8 +15,10 @@
 // DialFunc opens a connection to a peer. Tests replace it to cut peers off.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// connectTimeout bounds one dial, a TLS handshake included.
-const connectTimeout = time.Second
+// connectTimeout bounds one dial, a TLS handshake included: a few round trips
+// between regions. A dial to a VM without power hangs, and must not hold up the
+// one that is due when the VM is back.
+const connectTimeout = 400 * time.Millisecond
 
 // ErrNotSent marks a call that certainly did not reach the peer: no connection
 // could be had, or the call was given up before its first byte was written.
