Shares of a target's connections follow who needs them; retries go before hedges

And while 14 searchers shed 0.4 of their requests, hedges had used up the budget when retries needed it, and the shedding targets went on being chosen.

Change: shares weigh nodes by whether their data centre has a target of the pool; in a queue those that can still meet their goal go first; a refusal of a target counts against it like a failure; 0.3 of the budget is kept for retries.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -159,12 +160,13 @@
 // pump sends waiting parts of a pool as far as there is room.
 func (s *State) pump(p *pool) {
 	for len(p.waiting) > 0 {
-		next := p.waiting[0]
+		at := s.nextWaiting(p)
+		next := p.waiting[at]
 		t, wait := s.choose(next)
 		if t == nil && wait {
 			return
 		}
-		p.waiting = p.waiting[1:]
+		p.waiting = slices.Delete(p.waiting, at, at+1)
 		next.phase = partIdle
 		next.request.queued = max(next.request.queued, s.now.Sub(next.waitingFrom))
 		if t == nil {
@@ -176,6 +178,18 @@
 	}
 }
 
+// nextWaiting returns the position of the part to be sent next: the first one
+// that can still be answered within its goal, else the first one. In a long
+// queue every request would else be late.
+func (s *State) nextWaiting(p *pool) int {
+	for i, w := range p.waiting {
+		if s.now.Add(s.usualWork(w.request.route)).Before(w.request.answerBy) {
+			return i
+		}
+	}
+	return 0
+}
+
 // send sends a part to a target.
 func (s *State) send(p *part, t *target, hedge bool) {
 	r := p.request
--- a/internal/entry/forward/budget.go
+++ b/internal/entry/forward/budget.go
@@ -16,10 +16,15 @@
 const (
 	// budgetBuckets divides the window.
 	budgetBuckets = 10
-	// budgetMargin is the part of the rule that the nodes use up together. They
-	// count requests when they are sent and by their own clocks, targets when
-	// they arrive, and a node that restarts forgets what it has spent.
-	budgetMargin = 0.7
+	// ratioMargin and slackMargin are the parts of the rule that the nodes use up
+	// together. They count requests when they are sent and by their own clocks,
+	// targets when they arrive, and a node that restarts forgets what it has
+	// spent.
+	ratioMargin = 0.85
+	slackMargin = 0.6
+	// hedgeReserve is the part of the budget that hedges leave for retries: a
+	// part that failed is lost without one, a late one only late.
+	hedgeReserve = 0.3
 )
 
 // budget is one node's share of a pool's budget: the ratio of its own requests,
@@ -56,7 +61,11 @@
 		earned += b.first[i]
 		spent += b.extra[i]
 	}
-	return budgetMargin*(rule.Ratio*earned+rule.Slack/float64(max(1, nodes))) - spent
+	return b.whole(rule, earned, nodes) - spent
+}
+
+func (b *budget) whole(rule BudgetRule, earned float64, nodes int) float64 {
+	return ratioMargin*rule.Ratio*earned + slackMargin*rule.Slack/float64(max(1, nodes))
 }
 
 // spend takes a further request from the budget and reports whether it was
@@ -68,3 +77,16 @@
 	b.extra[b.at%budgetBuckets]++
 	return true
 }
+
+// spendOnHedge is spend for a hedge.
+func (b *budget) spendOnHedge(rule BudgetRule, now time.Time, nodes int) bool {
+	earned := 0.0
+	b.turn(rule, now)
+	for i := range budgetBuckets {
+		earned += b.first[i]
+	}
+	if b.left(rule, now, nodes) < 1+hedgeReserve*b.whole(rule, earned, nodes) {
+		return false
+	}
+	return b.spend(rule, now, nodes)
+}
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -84,7 +84,7 @@
 	if t == nil || t.load(s.now) >= float64(t.news.Slots) {
 		return
 	}
-	if !p.pool.budget.spend(s.options.Budget, s.now, s.nodeCount()) {
+	if !p.pool.budget.spendOnHedge(s.options.Budget, s.now, s.nodeCount()) {
 		s.counters.NoBudget++
 		return
 	}
--- a/internal/entry/forward/members.go
+++ b/internal/entry/forward/members.go
@@ -7,12 +7,20 @@
 )
 
 const (
-	// localConnections is the part of a target's connections that the entry
-	// nodes of its own data centre share, remoteConnections that of the others.
-	// The rest is left for connections that are closing, and for those that a
-	// target still counts after a node has lost its power.
-	localConnections  = 0.45
-	remoteConnections = 0.2
+	// usedConnections is the part of a target's connections that the entry nodes
+	// share. The rest is left for connections that are closing, and for those
+	// that a target still counts after a node has lost its power.
+	usedConnections = 0.8
+	// Weights of a node's share of a target's connections: nodes of its own data
+	// centre use it for everything, those of a data centre that has no target of
+	// the pool for much, and the others for hedges.
+	localWeight  = 3.0
+	needyWeight  = 2.0
+	remoteWeight = 1.0
+	// minLocal and minRemote are the least shares. Few nodes use theirs at the
+	// same moment, and a target over its limit resets a new connection.
+	minLocal  = 3
+	minRemote = 2
 	// spareConnections is how many more than a target's slots one node uses:
 	// what waits for a slot can wait here as well, and go elsewhere.
 	spareConnections = 2
@@ -81,16 +89,25 @@
 		s.poolNamed(a.Service).add(t)
 	}
 	t.news = a
-	s.shareConnections(t)
+	s.sharePool(t.pool)
 	s.pump(t.pool)
 }
 
+// sharePool takes this node's part of the connections of a pool's targets: it
+// depends on which data centres have one.
+func (s *State) sharePool(p *pool) {
+	for _, t := range p.targets {
+		s.shareConnections(t)
+	}
+}
+
 // removeTarget forgets a target that is gone. Its attempts end by themselves.
 func (s *State) removeTarget(t *target) {
 	t.news.State = api.TargetGone
 	delete(s.targets, t.id())
 	t.pool.remove(t)
 	s.emit(Forget{Target: t.id()})
+	s.sharePool(t.pool)
 	s.pump(t.pool)
 }
 
@@ -100,12 +117,17 @@
 	if most <= 0 {
 		most = unknownConnections
 	}
-	near := max(1, s.nodes[t.news.DataCentre])
-	share := int(localConnections * float64(most) / float64(near))
-	if !t.local {
-		share = int(remoteConnections * float64(most) / float64(max(1, s.nodeCount()-near)))
+	total := 0.0
+	for dataCentre, nodes := range s.nodes {
+		total += float64(nodes) * t.weight(dataCentre)
 	}
-	t.share = max(1, min(share, t.news.Slots+spareConnections))
+	own := t.weight(s.options.DataCentre)
+	share := int(usedConnections * float64(most) * own / max(total, own))
+	least := minRemote
+	if own > remoteWeight {
+		least = minLocal
+	}
+	t.share = min(max(share, least), t.news.Slots+spareConnections)
 	ahead := 0
 	if t.local && t.accepts() && t.pool.routed {
 		ahead = aheadConnections
@@ -113,6 +135,18 @@
 	s.emit(Connect{Target: t.id(), Address: t.news.Address, Connections: t.share, Ahead: ahead})
 }
 
+// weight is that of a data centre's nodes for a target's connections.
+func (t *target) weight(dataCentre string) float64 {
+	switch {
+	case dataCentre == t.news.DataCentre:
+		return localWeight
+	case !t.pool.served(dataCentre):
+		return needyWeight
+	default:
+		return remoteWeight
+	}
+}
+
 // tick sends the health checks that are due.
 func (s *State) tick() {
 	for _, t := range s.targets {
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -45,6 +45,16 @@
 	return false
 }
 
+// served reports whether a data centre has a target that accepts work.
+func (p *pool) served(dataCentre string) bool {
+	for _, t := range p.targets {
+		if t.news.DataCentre == dataCentre && t.accepts() {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// loadSpread is the part of a request's work that each request per slot
 	// adds to a target's score while slots are free: it spreads requests over
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -54,9 +54,9 @@
 			t.observeError(s.now, true)
 		}
 	case OutcomeNotRun:
-		// A target that is full answers at once: it is sound.
+		// The target answers, but what is sent to it is lost on it for now.
 		s.reach(t)
-		t.observe(s.now, maxShedWork(a), a.expected)
+		t.observeError(s.now, true)
 	case OutcomeWrongTarget:
 		// The address has another holder: this target is no more.
 		s.blame(t)
@@ -86,15 +86,10 @@
 	// usualWorkBound times the expected work bounds what one reply adds to a
 	// route's usual work: pauses and slow targets aren't usual.
 	usualWorkBound = 4
-	// shedWork times the expected work is what a refusal for want of room counts
-	// as.
-	shedWork = 4
 )
 
 func maxUsualWork(a *attempt) time.Duration { return usualWorkBound * a.expected }
 
-func maxShedWork(a *attempt) time.Duration { return shedWork * a.expected }
-
 func (s *State) heardSince(t *target, at time.Time) bool { return t.heard.After(at) }
 
 // takeOutcome goes on with a part after one of its attempts has ended.
