--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -8,8 +8,8 @@
 
 const (
 	// speedWeight is the weight of the newest reply in a target's slowdown, and
-	// lateWeight that of a late one. Late replies come in bunches when a target
-	// pauses, so only one in lateInterval counts.
+	// lateWeight times the streak that of a late one. Late replies come in bunches
+	// when a target pauses, so only one in lateInterval counts.
 	speedWeight  = 0.08
 	lateWeight   = 0.15
 	lateInterval = 300 * time.Millisecond
@@ -17,6 +17,10 @@
 	// speed is forgotten while it gets no requests: a target that was slow is
 	// tried again in the end.
 	speedHalfLife = 1500 * time.Millisecond
+	// maxLateStreak bounds how often late replies in a row, without a usual one
+	// between them, lengthen the half-life: a target that is slow, and not just
+	// pausing, is tried again less often.
+	maxLateStreak = 4
 	// slowerBand and fasterBand are the deviations from the usual speed that
 	// count as none: work differs from request to request by as much.
 	slowerBand = 0.25
@@ -60,6 +64,8 @@
 	slowdown float64
 	speedAt  time.Time
 	lateAt   time.Time
+	// lateStreak is the number of late replies counted in a row.
+	lateStreak int
 	// errors is the moving part of failed requests, as of errorsAt.
 	errors   float64
 	errorsAt time.Time
@@ -134,7 +140,8 @@
 }
 
 func (t *target) measured(now time.Time) float64 {
-	return 1 + (t.slowdown-1)*halved(now.Sub(t.speedAt), speedHalfLife)
+	halfLife := speedHalfLife * time.Duration(max(1, t.lateStreak))
+	return 1 + (t.slowdown-1)*halved(now.Sub(t.speedAt), halfLife)
 }
 
 // errorRate returns the part of requests that is expected to fail now.
@@ -162,14 +169,17 @@
 	}
 	sample := min(max(float64(work)/float64(usual), 0), maxSlowdown)
 	weight := speedWeight
-	if sample > stallFactor {
+	before := t.measured(now)
+	if sample <= stallFactor {
+		t.lateStreak = 0
+	} else {
 		if now.Sub(t.lateAt) < lateInterval {
 			return
 		}
 		t.lateAt = now
-		weight = lateWeight
+		t.lateStreak = min(t.lateStreak+1, maxLateStreak)
+		weight = lateWeight * float64(t.lateStreak)
 	}
-	before := t.measured(now)
 	t.slowdown = before + weight*(sample-before)
 	t.speedAt = now
 }
