--- /dev/null
+++ b/internal/control/driver/discover_test.go
@@ -0,0 +1,247 @@
+package driver
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/settings"
+)
+
+// seeded runs control replicas that know of each other by seeds only.
+type seeded struct {
+	*group
+	seeds []string
+}
+
+func newSeeded(t testing.TB, ids ...string) *seeded {
+	s := &seeded{group: newGroup(t, ids...)}
+	for _, member := range s.members {
+		s.seeds = append(s.seeds, member.Address)
+	}
+	return s
+}
+
+// launch starts a replica; first tells that the system starts for the first time.
+func (s *seeded) launch(peer settings.Peer, first bool) *Node {
+	set := s.group.settings(peer)
+	set.Members = nil
+	set.Join = !first
+	set.Discovery.Seeds = s.seeds
+	node, err := New(set, zap.NewNop(), Options{Dial: s.network.dialer(peer.ID)})
+	assert.NilError(s.t, err)
+	node.Start()
+	s.nodes[peer.ID] = node
+	return node
+}
+
+func (s *seeded) launchAll() {
+	for _, peer := range s.members {
+		s.launch(peer, true)
+	}
+}
+
+// replaceTable makes a table durable through a replica, retried until it is.
+func (s *seeded) replaceTable(node *Node, version uint64, packed string) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		err := node.ReplaceTable(ctx, controlrpc.Document{Version: version, Packed: []byte(packed)})
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+func (s *seeded) readTable(node *Node) controlrpc.Document {
+	s.t.Helper()
+	var got controlrpc.Document
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		if got, err = node.CurrentTable(ctx); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	return got
+}
+
+// awaitVoters waits until just these replicas vote, under incarnations that
+// aren't in but.
+func (s *seeded) awaitVoters(but []replica.Identity, ids ...string) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		for _, node := range s.nodes {
+			var members replica.Membership
+			var committed bool
+			if node.inspect(context.Background(), func(st *replica.State) { members, committed = st.Membership() }) != nil {
+				continue
+			}
+			if committed && votersAre(members, but, ids) {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("voters are not %v yet", ids)
+	}, poll.WithTimeout(30*time.Second))
+}
+
+func votersAre(members replica.Membership, but []replica.Identity, ids []string) bool {
+	wanted := map[string]bool{}
+	for _, id := range ids {
+		wanted[id] = true
+	}
+	voters := members.Voters()
+	for _, voter := range voters {
+		for _, old := range but {
+			if voter == old {
+				return false
+			}
+		}
+		if !wanted[voter.ID] {
+			return false
+		}
+	}
+	return len(voters) == len(ids)
+}
+
+func TestHighestTableIsInForceAndNeverReverts(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	s.replaceTable(s.nodes["a"], 7, "seven")
+	for _, node := range s.nodes {
+		assert.Equal(t, string(s.readTable(node).Packed), "seven")
+		s.replaceTable(node, 7, "other content under the same number")
+		s.replaceTable(node, 3, "a late order")
+	}
+	s.replaceTable(s.nodes["b"], 12, "twelve")
+	for _, node := range s.nodes {
+		got := s.readTable(node)
+		assert.Equal(t, got.Version, uint64(12))
+		assert.Equal(t, string(got.Packed), "twelve")
+	}
+}
+
+func TestReplicaWithoutQuorumDoesNotReadTheTable(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	s.replaceTable(s.nodes["a"], 1, "one")
+	s.kill("b")
+	s.kill("c")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := s.nodes["a"].CurrentTable(ctx)
+	assert.Assert(t, err != nil)
+}
+
+func TestEmptiedReplicaIsTakenBackByItself(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	s.replaceTable(s.nodes["a"], 1, "one")
+	lost := s.nodes["b"].self
+	s.kill("b")
+	assert.NilError(t, os.RemoveAll(filepath.Join(s.folder, "b")))
+	s.replaceTable(s.nodes["a"], 2, "two")
+	s.launch(s.members[1], false)
+	s.awaitVoters([]replica.Identity{lost}, "a", "b", "c")
+	// The repair is worth something: another loss is borne.
+	s.kill("c")
+	s.replaceTable(s.nodes["b"], 3, "three")
+	assert.Equal(t, string(s.readTable(s.nodes["b"]).Packed), "three")
+}
+
+func TestLostReplicaIsReplacedByAnEmptyOneElsewhere(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	s.replaceTable(s.nodes["a"], 1, "one")
+	s.kill("c")
+	s.launch(settings.Peer{ID: "d", Address: reserve(t), DataCentre: "dc-d"}, false)
+	s.awaitVoters(nil, "a", "b", "d")
+	s.replaceTable(s.nodes["d"], 2, "two")
+}
+
+func TestGroupSurvivesALossOfAllProcesses(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	s.replaceTable(s.nodes["a"], 9, "nine")
+	for _, peer := range s.members {
+		s.kill(peer.ID)
+	}
+	for _, peer := range s.members {
+		s.launch(peer, false)
+	}
+	assert.Equal(t, string(s.readTable(s.nodes["c"]).Packed), "nine")
+}
+
+func announcement(id string, sequence uint64, state api.TargetState) api.Announcement {
+	return api.Announcement{
+		Target: api.TargetID(id), Incarnation: 1, Sequence: sequence, State: state,
+		Service: "s", Address: "127.0.0.1:9", DataCentre: "dc-a", Slots: 3,
+	}
+}
+
+func TestTargetsAreKnownEverywhere(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	s.launchAll()
+	assert.NilError(t, s.nodes["a"].Announce(context.Background(), announcement("t", 1, api.TargetReady)))
+	for _, node := range s.nodes {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			node.directory.mu.Lock()
+			defer node.directory.mu.Unlock()
+			if got, ok := node.directory.targets.Find("t"); ok && got.State == api.TargetReady {
+				return poll.Success()
+			}
+			return poll.Continue("not known yet")
+		}, poll.WithTimeout(10*time.Second))
+	}
+}
+
+// TestLeavingTargetIsAcknowledgedWhenEveryWatcherKnows follows a control
+// process by hand: it must not acknowledge before the poll that confirms.
+func TestLeavingTargetIsAcknowledgedWhenEveryWatcherKnows(t *testing.T) {
+	s := newSeeded(t, "a")
+	node := s.launch(s.members[0], true)
+	assert.NilError(t, node.Announce(context.Background(), announcement("t", 1, api.TargetReady)))
+
+	watchOnce := func(epoch, revision uint64) controlrpc.WatchReply {
+		var reply controlrpc.WatchReply
+		args := &controlrpc.WatchArgs{Node: "entry", Kind: discovery.WatcherEntry, DataCentre: "dc-a", Epoch: epoch, Revision: revision}
+		node.watchHere(context.Background(), args, 0, &reply)
+		return reply
+	}
+	known := watchOnce(0, 0)
+	assert.Equal(t, len(known.Targets), 1)
+	assert.DeepEqual(t, known.EntryNodes, map[string]int{"dc-a": 1})
+
+	err := node.Announce(context.Background(), announcement("t", 2, api.TargetDraining))
+	assert.ErrorIs(t, err, errUnconfirmed)
+
+	done := make(chan error, 1)
+	go func() { done <- node.Depart(context.Background(), "t", 0) }()
+	news := watchOnce(known.Epoch, known.Revision)
+	watchOnce(news.Epoch, news.Revision)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		// Each poll confirms what the one before it brought.
+		news = watchOnce(news.Epoch, news.Revision)
+		select {
+		case err := <-done:
+			assert.NilError(t, err)
+			return poll.Success()
+		default:
+			return poll.Continue("not acknowledged yet")
+		}
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -110,6 +110,7 @@
 	node := g.nodes[id]
 	delete(g.nodes, id)
 	node.cancel()
+	node.stopDiscovery()
 	node.peers.wait()
 	node.client.Close()
 	node.server.Close()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -71,7 +71,7 @@
 	if len(d.Seeds) == 0 {
 		return nil
 	}
-	if d.Port < 1 || d.Port > 65535 {
+	if d.Port < 0 || d.Port > 65535 {
 		return &Error{File: path, Section: "discovery", Key: "port", Detail: fmt.Sprintf("%d isn't a port", d.Port)}
 	}
 	for _, seed := range d.Seeds {
--- a/internal/settings/discovery.go
+++ b/internal/settings/discovery.go
@@ -11,7 +11,10 @@
 			// The settings are checked when they are read.
 			continue
 		}
-		addresses = append(addresses, netip.AddrPortFrom(parsed.Addr(), uint16(d.Port)).String())
+		if d.Port != 0 {
+			parsed = netip.AddrPortFrom(parsed.Addr(), uint16(d.Port))
+		}
+		addresses = append(addresses, parsed.String())
 	}
 	return addresses
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,9 +113,10 @@
 // Discovery names control processes to begin with. Further ones are learned
 // from these.
 type Discovery struct {
-	// Seeds are addresses, IP:port, separated by commas. Only the IP counts.
+	// Seeds are addresses, IP:port, separated by commas.
 	Seeds []string `ini:"seeds"`
-	// Port is the peers' port of every control process.
+	// Port is the peers' port of every control process, in place of the ports of
+	// the seeds; 0 when those are the peers' own.
 	Port int `ini:"port"`
 }
 
