Logs never wait and are bounded; latency histograms and gauges on the metrics address

Cause: a log line blocked its request when nobody read standard output, nothing bounded the lines, and the metrics had no histogram. Change: a sink that writes from its own goroutine and counts what it drops, a sampler that bounds the lines of one message in a second, a message of its own for requests that end in trouble; /metrics as text beside expvar.

--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -52,11 +52,12 @@
 	return nil
 }
 
-func newLogger(config *settings.Control) (*zap.Logger, error) {
+func newLogger(lc fx.Lifecycle, config *settings.Control) (*zap.Logger, error) {
 	logger, err := telemetry.NewLogger(process, config.Node.ID)
 	if err != nil {
 		return nil, err
 	}
+	lc.Append(fx.StopHook(logger.Sync))
 	telemetry.LogSettings(logger, config.TLS.Insecure, config.Testing.CutFile)
 	return logger, nil
 }
@@ -104,6 +105,9 @@
 func newOperators(lc fx.Lifecycle, config *settings.Control, security wire.Security, node *driver.Node) *http.Server {
 	router := mux.NewRouter()
 	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	metrics := telemetry.NewMetrics()
+	metrics.AddGauges(node.Gauges)
+	router.Handle("/metrics", metrics).Methods(http.MethodGet)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintln(w, "ok")
 	}).Methods(http.MethodGet)
--- a/cmd/wigeon-entry/forwarding.go
+++ b/cmd/wigeon-entry/forwarding.go
@@ -14,17 +14,18 @@
 
 	"wigeonbay/internal/entry/forwarder"
 	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wire"
 	"wigeonbay/platform"
 )
 
 // forwarding serves requests that the routing table sends on to targets.
 var forwarding = fx.Options(
-	fx.Provide(newForwarder),
+	fx.Provide(newForwarder, telemetry.NewMetrics),
 	fx.Invoke(registerForwarding, followReloads, serveMetrics),
 )
 
-func newForwarder(config *settings.Entry, logger *zap.Logger) (*forwarder.Node, error) {
+func newForwarder(config *settings.Entry, logger *zap.Logger, metrics *telemetry.Metrics) (*forwarder.Node, error) {
 	security, err := wire.LoadSecurity(config.TLS.Certificate, config.TLS.Key, config.TLS.Authority)
 	if err != nil {
 		return nil, err
@@ -35,6 +36,7 @@
 		Headers:     platform.Headers(),
 		ReadyPath:   platform.ReadyPath(),
 		DecodeTable: platform.DecodeTable,
+		Metrics:     metrics,
 		Dial:        security.DialWithCuts(config.Testing.CutFile),
 	}), nil
 }
@@ -67,12 +69,13 @@
 
 // serveMetrics serves counters on the operators' address, unless searching
 // serves them there already.
-func serveMetrics(lifecycle fx.Lifecycle, config *settings.Entry) {
+func serveMetrics(lifecycle fx.Lifecycle, config *settings.Entry, metrics *telemetry.Metrics) {
 	if config.Listen.Callers != "" {
 		return
 	}
 	router := mux.NewRouter()
 	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	router.Handle("/metrics", metrics).Methods(http.MethodGet)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: metricsHeaderTimeout}
 	start := func(ctx context.Context) error {
 		var listen net.ListenConfig
--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -62,11 +62,12 @@
 	return app.Stop(stopping)
 }
 
-func newLogger(config *settings.Entry) (*zap.Logger, error) {
+func newLogger(lifecycle fx.Lifecycle, config *settings.Entry) (*zap.Logger, error) {
 	logger, err := telemetry.NewLogger(process, config.Node.ID)
 	if err != nil {
 		return nil, err
 	}
+	lifecycle.Append(fx.StopHook(logger.Sync))
 	telemetry.LogSettings(logger, config.TLS.Insecure, config.Testing.CutFile)
 	return logger, nil
 }
--- /dev/null
+++ b/internal/control/driver/metrics.go
@@ -0,0 +1,43 @@
+package driver
+
+import (
+	"time"
+
+	"wigeonbay/internal/control/replica"
+	"wigeonbay/internal/telemetry"
+)
+
+// Names of the metrics of a control process.
+const (
+	metricLeader    = "wigeonbay_control_is_leader"
+	metricTerm      = "wigeonbay_control_term"
+	metricQuorumAge = "wigeonbay_control_quorum_seconds_ago"
+	metricTable     = "wigeonbay_control_table_version"
+	metricLog       = "wigeonbay_control_log_bytes"
+	metricSyncs     = "wigeonbay_control_disk_syncs_total"
+	metricTargets   = "wigeonbay_control_targets"
+	metricWatchers  = "wigeonbay_control_entry_nodes"
+)
+
+// Gauges reports the process's state as of now.
+func (n *Node) Gauges(set func(string, float64)) {
+	v := n.view.Load()
+	leads := 0.0
+	if v.role == replica.RoleLeader {
+		leads = 1
+	}
+	set(metricLeader, leads)
+	set(metricTerm, float64(v.term))
+	if age, known := n.quorumAge(); known {
+		set(metricQuorumAge, age.Seconds())
+	}
+	set(metricTable, float64(n.table().Version))
+	set(metricLog, float64(n.log.Bytes()))
+	set(metricSyncs, float64(n.disk.syncs.Load()))
+	n.directory.mu.Lock()
+	defer n.directory.mu.Unlock()
+	set(metricTargets, float64(len(n.directory.targets.Live())))
+	for dataCentre, count := range n.directory.watchers.EntryNodes(time.Now()) {
+		set(telemetry.Series(metricWatchers, "data_centre", dataCentre), float64(count))
+	}
+}
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -125,6 +125,8 @@
 	Route        string
 	TableVersion uint64
 	Took         time.Duration
+	// Goal is the route's response-time goal, 0 for none.
+	Goal time.Duration
 	// Queued is how long its first part waited for a connection.
 	Queued time.Duration
 	Parts  int
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -254,6 +254,7 @@
 	}
 	if r.route != nil {
 		out.Route = r.route.config.Name
+		out.Goal = r.route.config.Goal
 	}
 	out.Sends = make([]SendRecord, 0, len(r.sends))
 	for _, a := range r.sends {
--- /dev/null
+++ b/internal/entry/forwarder/metrics.go
@@ -0,0 +1,56 @@
+package forwarder
+
+import (
+	"strconv"
+
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/telemetry"
+)
+
+// Names of the metrics of forwarded requests.
+const (
+	metricRequests = "wigeonbay_forward_requests_total"
+	metricDuration = "wigeonbay_forward_request_seconds"
+	metricSends    = "wigeonbay_forward_sends_total"
+	metricTargets  = "wigeonbay_forward_targets"
+	metricQueue    = "wigeonbay_forward_queue_length"
+	metricBudget   = "wigeonbay_forward_budget_left"
+	metricOpen     = "wigeonbay_forward_requests_in_progress"
+	metricTable    = "wigeonbay_forward_table_version"
+	metricTableAge = "wigeonbay_forward_table_confirmed_seconds_ago"
+	metricControls = "wigeonbay_forward_controls_reached"
+)
+
+// measure counts a request that has ended.
+func (n *Node) measure(status int, reason string, s *forward.Summary) {
+	m := n.cfg.Metrics
+	m.Count(telemetry.Series(metricRequests, "route", s.Route, "status", strconv.Itoa(status), "reason", reason), 1)
+	m.Observe(telemetry.Series(metricDuration, "route", s.Route), s.Took)
+	for i := range s.Sends {
+		send := &s.Sends[i]
+		kind := "first"
+		if send.Hedge {
+			kind = "hedge"
+		}
+		m.Count(telemetry.Series(metricSends, "outcome", send.Outcome, "kind", kind), 1)
+	}
+}
+
+// gauges reports the node's state as of now.
+func (n *Node) gauges(set func(string, float64)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	set(metricOpen, float64(n.state.InProgress()))
+	set(metricTable, float64(n.state.TableVersion()))
+	if age, known := n.ready.confirmedAgo(); known {
+		set(metricTableAge, age.Seconds())
+	}
+	set(metricControls, float64(n.follow.Reached()))
+	for _, p := range n.state.Pools() {
+		set(telemetry.Series(metricQueue, "service", p.Name), float64(p.Waiting))
+		set(telemetry.Series(metricBudget, "service", p.Name), p.BudgetLeft)
+		for state, count := range p.Targets {
+			set(telemetry.Series(metricTargets, "service", p.Name, "state", state), float64(count))
+		}
+	}
+}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -47,6 +47,8 @@
 	ReadyPath string
 	// DecodeTable reads an operator's document.
 	DecodeTable func(document []byte) (*api.RoutingTable, error)
+	// Metrics receives counts and durations.
+	Metrics *telemetry.Metrics
 	// Dial opens connections to control processes; nil means plain TCP.
 	Dial wire.DialFunc
 }
@@ -101,6 +103,7 @@
 		replies: map[forward.AttemptID]*pool.Reply{},
 		cancels: map[forward.AttemptID]context.CancelFunc{},
 	}
+	cfg.Metrics.AddGauges(n.gauges)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.follow = watch.New(watch.Config{
 		Node:         cfg.Settings.Node.ID,
--- a/internal/entry/forwarder/readiness.go
+++ b/internal/entry/forwarder/readiness.go
@@ -26,6 +26,14 @@
 	ready   bool
 	held    uint64
 	nodes   nodeCounts
+	// confirmed is when a current control process last had no newer table.
+	confirmed time.Time
+}
+
+// confirmedAgo returns the time since the routing table in force was last
+// confirmed to be the newest, and false for never.
+func (r *readiness) confirmedAgo() (time.Duration, bool) {
+	return time.Since(r.confirmed), !r.confirmed.IsZero()
 }
 
 // heard notes a control process's reply, and the version of the routing table
@@ -38,6 +46,7 @@
 	current := reply.QuorumAgeMS >= 0 && time.Duration(reply.QuorumAgeMS)*time.Millisecond <= maxQuorumAge
 	if current && held > 0 && held >= reply.TableVersion {
 		r.ready = true
+		r.confirmed = now
 	}
 }
 
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -203,7 +203,13 @@
 	if w == nil {
 		return
 	}
-	telemetry.ForwardRequestEnded.Log(n.logger,
+	event := telemetry.ForwardRequestEnded
+	n.measure(status, reason, s)
+	late := s.Goal > 0 && s.Took > s.Goal
+	if status < http.StatusOK || status >= http.StatusBadRequest || s.Missed > 0 || late {
+		event = telemetry.ForwardRequestTroubled
+	}
+	event.Log(n.logger,
 		zap.String("request", w.id),
 		zap.String("route", s.Route),
 		zap.Uint64("table", s.TableVersion),
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -26,6 +26,7 @@
 	ForwardTargetUnreachable = Event{1308, zapcore.WarnLevel, "target unreachable", "Requests to the target failed in a row; it gets health checks until one succeeds."}
 	ForwardTargetReachable   = Event{1309, zapcore.InfoLevel, "target reachable", "The target answers again and takes requests."}
 	ForwardRequestEnded      = Event{1310, zapcore.InfoLevel, "request ended", "What was decided about a request: its route, each target asked with the time, outcome and status, and how it ended. Status 0 means that the caller had gone."}
+	ForwardRequestTroubled   = Event{1312, zapcore.WarnLevel, "request ended in trouble", "Like event 1310, for a request that was refused or failed, was answered late or in part, or whose caller had gone. Reason tells why it was refused; the sends tell what each target did."}
 	ForwardRequestRejected   = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large, or the node shuts down (503)."}
 )
 
@@ -35,5 +36,5 @@
 	EntrySilentConnection, EntryForeignReply, EntryRecordFailed,
 	ForwardStarted, ForwardStopped, ForwardDraining, ForwardReloaded, ForwardTableInForce,
 	ForwardTableUnusable, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
-	ForwardRequestEnded, ForwardRequestRejected,
+	ForwardRequestEnded, ForwardRequestTroubled, ForwardRequestRejected,
 }
--- a/internal/telemetry/events_tools.go
+++ b/internal/telemetry/events_tools.go
@@ -11,8 +11,11 @@
 	CutsFollowed     = Event{5004, zapcore.WarnLevel, "follows a file of cuts", "The settings name a file that cuts this process off from others. It is for tests of failures; remove [testing]."}
 )
 
+// LogLinesDropped is written when lines were left out.
+var LogLinesDropped = Event{5005, zapcore.WarnLevel, "log lines dropped", "Nobody read the log fast enough; dropped is the number of lines left out since the start."}
+
 // ToolsEvents lists the events of this file, for the catalogue.
-var ToolsEvents = []Event{InsecureListener, CutsFollowed}
+var ToolsEvents = []Event{InsecureListener, CutsFollowed, LogLinesDropped}
 
 // LogSettings logs the settings that an operator must not overlook: listeners
 // without TLS, and a file of cuts for tests.
--- a/internal/tools/eventdoc/eventdoc_test.go
+++ b/internal/tools/eventdoc/eventdoc_test.go
@@ -79,8 +79,10 @@
 		if ok && from.Name == "telemetry" {
 			used[selector.Sel.Name] = true
 		}
-		if ok && selector.Sel.Name == "Log" {
-			used[from.Name] = true // logged by package telemetry itself
+		if ok && (selector.Sel.Name == "Log" || selector.Sel.Name == "Number") {
+			// Logged by package telemetry itself, by number where it writes the
+			// line without a logger.
+			used[from.Name] = true
 		}
 	}
 	walk(t, filepath.Join(root, "cmd"), note)
