A full disk ends no replica, a stuck one costs the lead

Cause: a write to a full disk failed the log for good, and the process ended and was started again as long as the disk was full; a leader whose sync hangs can apply nothing, so operators got no answer while the others had committed. Shown by: TestFullDiskEndsNoReplica, TestStuckDiskCostsTheLead.

--- a/internal/control/driver/apply.go
+++ b/internal/control/driver/apply.go
@@ -1,9 +1,11 @@
 package driver
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -160,7 +162,13 @@
 // store writes a snapshot and lets the disk's goroutine drop what it replaces.
 func (a *applier) store(snapshot replica.Snapshot) {
 	n := a.node
-	if err := n.log.StoreSnapshot(snapshot); err != nil {
+	err := n.log.StoreSnapshot(snapshot)
+	if errors.Is(err, syscall.ENOSPC) {
+		telemetry.ControlDiskFull.Log(n.logger, zap.String("write", "snapshot"), zap.Error(err))
+		a.pending.Store(false)
+		return
+	}
+	if err != nil {
 		n.fail(err)
 		return
 	}
--- a/internal/control/driver/disk.go
+++ b/internal/control/driver/disk.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"wigeonbay/internal/control/replica"
 )
@@ -24,6 +25,18 @@
 
 	syncs  atomic.Uint64
 	writes atomic.Uint64
+	// busySince is when the write under way began, in nanoseconds of the node's
+	// clock; 0 while none is.
+	busySince atomic.Int64
+}
+
+// stuckFor returns how long the write under way has taken at now.
+func (q *diskQueue) stuckFor(now time.Duration) time.Duration {
+	since := q.busySince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now - time.Duration(since)
 }
 
 func newDiskQueue() *diskQueue { return &diskQueue{ready: make(chan struct{}, 1)} }
@@ -74,7 +87,10 @@
 		case <-n.disk.ready:
 		}
 		for work := n.disk.take(n.o.GroupCommit); len(work) > 0; work = n.disk.take(n.o.GroupCommit) {
-			if err := n.write(work); err != nil {
+			n.disk.busySince.Store(int64(n.now()))
+			err := n.write(work)
+			n.disk.busySince.Store(0)
+			if err != nil {
 				n.fail(err)
 				return
 			}
--- a/internal/control/driver/loop.go
+++ b/internal/control/driver/loop.go
@@ -34,6 +34,7 @@
 			return
 		case <-ticker.C:
 			n.step(replica.Tick{Now: n.now(), Jitter: n.random.Float64()})
+			n.leaveStuckDisk()
 		case in := <-n.inbox:
 			n.take(in)
 		case first := <-n.proposed:
@@ -45,6 +46,19 @@
 	}
 }
 
+// leaveStuckDisk hands the lead over while a write takes long: what the others
+// commit meanwhile can't be applied here, so nobody would be answered. A replica
+// whose disk is stuck can't vote, so it isn't elected again before.
+func (n *Node) leaveStuckDisk() {
+	patience := n.set.Replication.ElectionTimeout
+	if n.state.Role() != replica.RoleLeader || n.disk.stuckFor(n.now()) < patience || n.now()-n.steppedAside < patience {
+		return
+	}
+	n.steppedAside = n.now()
+	telemetry.ControlDiskStuck.Log(n.logger, zap.Duration("for", n.disk.stuckFor(n.now())))
+	n.step(replica.StepAside{})
+}
+
 func (n *Node) take(in any) {
 	switch in := in.(type) {
 	case replica.Event:
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -42,10 +42,12 @@
 	saved     replica.Snapshot
 	currentAt time.Duration
 	disk      *diskQueue
-	calls     *calls
-	view      atomic.Pointer[view]
-	changed   *broadcast // of the view's leader or role
-	nextID    atomic.Uint64
+	// steppedAside is when the replica last handed the lead over for its disk.
+	steppedAside time.Duration
+	calls        *calls
+	view         atomic.Pointer[view]
+	changed      *broadcast // of the view's leader or role
+	nextID       atomic.Uint64
 
 	machineMu sync.RWMutex
 	machine   *machine.Machine
@@ -76,6 +78,8 @@
 func New(set settings.Control, logger *zap.Logger, options Options) (*Node, error) {
 	registerBodies()
 	o := options.withDefaults()
+	n := &Node{set: set, logger: logger, o: o}
+	n.stop, n.cancel = context.WithCancel(context.Background())
 	log, found, err := wal.Open(wal.Options{
 		FS:             o.FS,
 		Folder:         set.Storage.Folder,
@@ -83,11 +87,12 @@
 		Replica:        set.Node.ID,
 		NewIncarnation: o.NewIncarnation,
 		SegmentBytes:   set.Storage.SegmentBytes,
+		OnFull:         n.awaitSpace,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
-	n := &Node{set: set, logger: logger, o: o, log: log}
+	n.log = log
 	if err := n.build(found); err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
@@ -107,7 +112,6 @@
 	n.changed = newBroadcast()
 	n.applied = newBroadcast()
 	n.directory = newDirectory(rand.Uint64())
-	n.stop, n.cancel = context.WithCancel(context.Background())
 	n.machine = machine.New(n.set.Replication.LedgerRetention)
 	if err := n.restoreFound(found); err != nil {
 		return err
@@ -227,6 +231,18 @@
 	}
 }
 
+// awaitSpace waits a moment for room on a full disk, and reports whether to try
+// again.
+func (n *Node) awaitSpace() bool {
+	telemetry.ControlDiskFull.Log(n.logger, zap.String("write", "log"))
+	select {
+	case <-time.After(fullDiskPause):
+		return true
+	case <-n.stop.Done():
+		return false
+	}
+}
+
 // fail ends the node after an error that it can't go on from.
 func (n *Node) fail(err error) {
 	n.failOnce.Do(func() {
--- a/internal/control/wal/log.go
+++ b/internal/control/wal/log.go
@@ -6,6 +6,7 @@
 	"io"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 
 	"wigeonbay/internal/control/replica"
 )
@@ -26,6 +27,9 @@
 	NewIncarnation func() string
 	// SegmentBytes is the size from which a segment is closed.
 	SegmentBytes int64
+	// OnFull is called when the disk takes no more bytes. It waits for a while and
+	// returns true to try again; false, or nil, lets the write fail.
+	OnFull func() bool
 }
 
 // Recovered is what a data folder held.
@@ -47,6 +51,7 @@
 	files        FS
 	folder       string
 	segmentBytes int64
+	onFull       func() bool
 	lock         io.Closer
 
 	active *segment
@@ -71,7 +76,7 @@
 // Open opens or founds a data folder. A folder that is another's or damaged is
 // refused with a *FolderError and left as it is.
 func Open(o Options) (*Log, Recovered, error) {
-	l := &Log{files: o.FS, folder: o.Folder, segmentBytes: o.SegmentBytes}
+	l := &Log{files: o.FS, folder: o.Folder, segmentBytes: o.SegmentBytes, onFull: o.OnFull}
 	if err := l.files.MkdirAll(o.Folder); err != nil {
 		return nil, Recovered{}, fmt.Errorf("create data folder: %w", err)
 	}
@@ -186,7 +191,11 @@
 	if l.active.size < l.segmentBytes {
 		return nil
 	}
-	return l.rotate()
+	if err := l.rotate(); err != nil && !errors.Is(err, syscall.ENOSPC) {
+		return err
+	}
+	// Without room for another segment this one grows on.
+	return nil
 }
 
 func (l *Log) install(snapshot replica.Snapshot) error {
@@ -203,7 +212,12 @@
 	if err := l.Failed(); err != nil {
 		return err
 	}
-	return l.fail(saveSnapshot(l.files, l.folder, snapshot))
+	err := saveSnapshot(l.files, l.folder, snapshot)
+	if errors.Is(err, syscall.ENOSPC) {
+		// The log holds what the snapshot would replace.
+		return err
+	}
+	return l.fail(err)
 }
 
 // Retire removes what the stored snapshot of this index replaces.
@@ -250,21 +264,33 @@
 		number = l.closed[n-1].number + 1
 	}
 	if l.active != nil {
-		if err := l.active.file.Close(); err != nil {
-			return fmt.Errorf("close segment: %w", err)
-		}
-		l.closed = append(l.closed, closedSegment{number: l.active.number, last: l.active.last, size: l.active.size})
 		number = l.active.number + 1
 	}
 	next, err := createSegment(l.files, l.folder, number, l.hard)
 	if err != nil {
 		return err
 	}
+	if err := l.retireActive(); err != nil {
+		return errors.Join(err, next.file.Close())
+	}
+	next.onFull = l.onFull
 	l.active = next
 	l.bytes.Add(next.size)
 	return nil
 }
 
+// retireActive closes the segment that was written to, if there is one.
+func (l *Log) retireActive() error {
+	if l.active == nil {
+		return nil
+	}
+	if err := l.active.file.Close(); err != nil {
+		return fmt.Errorf("close segment: %w", err)
+	}
+	l.closed = append(l.closed, closedSegment{number: l.active.number, last: l.active.last, size: l.active.size})
+	return nil
+}
+
 // Failed returns the error after which the log takes nothing more, nil while it
 // works.
 func (l *Log) Failed() error {
--- a/internal/control/wal/segment.go
+++ b/internal/control/wal/segment.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"syscall"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -33,6 +34,8 @@
 	frames uint64
 	// last is the highest index of an entry in the segment.
 	last uint64
+	// onFull is called when the disk is full; true asks for another try.
+	onFull func() bool
 }
 
 // createSegment starts a segment whose first frame holds the hard state. It
@@ -63,7 +66,7 @@
 		return fmt.Errorf("batch of %d bytes is over the limit of %d", len(payload), maxFrameBytes)
 	}
 	data := appendFrame(nil, s.frames, payload)
-	if _, err := s.file.Write(data); err != nil {
+	if err := s.writeAll(data); err != nil {
 		return fmt.Errorf("write segment: %w", err)
 	}
 	if err := s.file.Sync(); err != nil {
@@ -79,6 +82,19 @@
 	return nil
 }
 
+// writeAll writes data whole. A full disk may take the rest of a frame once
+// there is room again; until then the frame is a torn tail that nobody has
+// acknowledged.
+func (s *segment) writeAll(data []byte) error {
+	for {
+		written, err := s.file.Write(data)
+		if err == nil || !errors.Is(err, syscall.ENOSPC) || s.onFull == nil || !s.onFull() {
+			return err
+		}
+		data = data[written:]
+	}
+}
+
 // contents is what a segment was found to hold.
 type contents struct {
 	batches []batch
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -28,10 +28,17 @@
 	ControlCallFailed         = Event{2108, zapcore.WarnLevel, "call refused", "A call of an operator or a target was refused; the reason is in error."}
 )
 
+// Events about the disk.
+var (
+	ControlDiskFull  = Event{2201, zapcore.WarnLevel, "disk full", "The disk takes no more bytes; the write is tried again. Reads and check-ins go on, and other replicas take over. Make room on the data folder's disk."}
+	ControlDiskStuck = Event{2202, zapcore.WarnLevel, "leader leaves for its disk", "A write has taken longer than an election timeout; the leader asks another replica to take over."}
+)
+
 // ControlEvents lists the events of this file, for the catalogue.
 var ControlEvents = []Event{
 	ControlStarted, ControlStopped, ControlRecovered, ControlRole, ControlFailed,
 	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired, ControlSnapshot,
 	ControlTargetChanged, ControlLeavingUnconfirmed, ControlWatcherJoined, ControlWatcherLost,
 	ControlTableAccepted, ControlTableRefused, ControlMended, ControlCallFailed,
+	ControlDiskFull, ControlDiskStuck,
 }
