Overload: what can't be answered in time is refused at once, the rest waits here

Change: a target counts as full at two requests for each slot; what waits here goes by the time at which it is due; a request whose parts would come too late at the pools' present pace is refused on arrival, with a time to come back at which the present queue is gone; a gather past its goal that can't be whole enough because of what is unsent is ended. TestOverloadKeepsTheThroughputUseful fails without admission.

--- /dev/null
+++ b/internal/entry/forward/admit.go
@@ -0,0 +1,59 @@
+package forward
+
+import "time"
+
+const (
+	// fullRounds is how many requests for each slot a target may have before it
+	// counts as full: what waits here can still go to another target, or be
+	// refused in time, and what waits there can't.
+	fullRounds = 2
+	// drainGoals times its goal is when a request refused for an overload should
+	// come back: what waits now is then answered or given up.
+	drainGoals = 2
+)
+
+// overloaded reports whether a request would wait so long that too few of its
+// parts are answered within its goal. Refused at once, its caller can come back
+// and be served; taken in, it would make others late as well.
+func (s *State) overloaded(r *request) bool {
+	inTime := 0
+	usual := s.usualReply(r.route)
+	for _, p := range r.parts {
+		if !s.now.Add(s.expectedWait(p) + usual).After(r.due) {
+			inTime++
+		}
+	}
+	return inTime < r.needed()
+}
+
+// usualReply is the time that a part takes once it is sent.
+func (s *State) usualReply(r *route) time.Duration {
+	if r.stats.replies == nil {
+		return 0
+	}
+	usual, _ := r.stats.replies.Quantile(s.now, usualQuantile)
+	return usual
+}
+
+// usualQuantile is the quantile of the reply times taken as usual: a gather
+// waits for its slowest part.
+const usualQuantile = 0.75
+
+// expectedWait is how long a part would wait for a connection, at the pace at
+// which the pool serves what waits. All that wait are counted, also those that
+// are due later: what comes next may overtake this part as well.
+func (s *State) expectedWait(p *part) time.Duration {
+	if len(p.pool.waiting) == 0 {
+		return 0
+	}
+	return p.pool.pace.Wait(len(p.pool.waiting) + 1)
+}
+
+// whenDrained is when to come back after an overload.
+func (s *State) whenDrained(r *request) time.Duration {
+	goal := r.route.config.Goal
+	if goal <= 0 {
+		goal = fullRetry
+	}
+	return s.spread(r, drainGoals*goal)
+}
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -50,6 +50,10 @@
 		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTarget, s.untilCoverable(r))
 		return
 	}
+	if s.overloaded(r) {
+		s.refuse(r, http.StatusServiceUnavailable, ReasonOverload, s.whenDrained(r))
+		return
+	}
 	s.requests[r.id] = r
 	for _, p := range r.parts {
 		if r.done {
@@ -73,10 +77,9 @@
 		r.parts[i] = &parts[i]
 	}
 	r.open = len(r.parts)
-	r.answerBy = r.deadline
-	if r.route.config.IsGather() && r.route.config.Goal > 0 {
-		goal := r.route.config.Goal
-		r.answerBy = r.arrived.Add(goal - goalMargin(goal))
+	r.due = r.deadline
+	if goal := r.route.config.Goal; goal > 0 {
+		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal)))
 	}
 }
 
@@ -135,8 +138,8 @@
 	}
 }
 
-// wait puts a part into its pool's queue: the most urgent first, those of equal
-// rank by their arrival.
+// wait puts a part into its pool's queue: the one that is due first in front,
+// and of those due together the more urgent one.
 func (s *State) wait(p *part) {
 	s.counters.Queued++
 	p.phase = partWaiting
@@ -151,10 +154,10 @@
 }
 
 func before(a, b *part) bool {
-	if a.request.route.config.Priority != b.request.route.config.Priority {
-		return a.request.route.config.Priority < b.request.route.config.Priority
+	if !a.request.due.Equal(b.request.due) {
+		return a.request.due.Before(b.request.due)
 	}
-	return a.request.arrived.Before(b.request.arrived)
+	return a.request.route.config.Priority < b.request.route.config.Priority
 }
 
 // pump sends waiting parts of a pool as far as there is room.
@@ -183,7 +186,7 @@
 // queue every request would else be late.
 func (s *State) nextWaiting(p *pool) int {
 	for i, w := range p.waiting {
-		if s.now.Add(s.usualWork(w.request.route)).Before(w.request.answerBy) {
+		if s.now.Add(s.usualWork(w.request.route)).Before(w.request.due) {
 			return i
 		}
 	}
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -33,7 +33,7 @@
 		s.merge(r)
 		return
 	}
-	if !s.now.Before(r.answerBy) {
+	if !s.now.Before(r.due) {
 		s.answerPartial(r)
 	}
 }
@@ -112,7 +112,7 @@
 
 func (s *State) retryAfter(r *request, reason Reason) time.Duration {
 	if reason == ReasonOverload {
-		return s.spread(r, fullRetry)
+		return s.whenDrained(r)
 	}
 	return s.untilCoverable(r)
 }
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -96,9 +96,11 @@
 	w.target("t1", "a", home)
 	w.target("t2", "a", home)
 	request := w.arrive("h")
-	effects := w.fire(request)
-	assert.Equal(t, len(w.sends(request)), 1)
-	refused := find[Refuse](effects)
+	var refused []Refuse
+	for len(refused) == 0 {
+		assert.Equal(t, len(w.sends(request)), 1)
+		refused = find[Refuse](w.fire(request))
+	}
 	assert.Equal(t, refused[0].Status, http.StatusGatewayTimeout, "the timer was that of the timeout")
 }
 
@@ -404,9 +406,9 @@
 	assert.Equal(t, w.state.InProgress(), 0)
 }
 
-func TestUrgentPartsWaitInFront(t *testing.T) {
+func TestWhatIsDueFirstWaitsInFront(t *testing.T) {
 	slow, urgent := plainRoute("slow", "a", true), plainRoute("urgent", "a", true)
-	slow.Priority, urgent.Priority = 2, 1
+	urgent.Goal = 300 * time.Millisecond
 	w := newWorld(t, tableOf(1, slow, urgent))
 	w.target("t1", "a", home)
 	share := w.state.targets["t1"].share
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -57,7 +57,7 @@
 		s.timeOut(r)
 		return
 	}
-	if !s.now.Before(r.answerBy) && s.answerPartial(r) {
+	if !s.now.Before(r.due) && (s.answerPartial(r) || s.giveUpUnsent(r)) {
 		return
 	}
 	s.refuseUnsent(r)
@@ -94,6 +94,26 @@
 	s.send(p, t, true)
 }
 
+// giveUpUnsent ends a gather whose goal has passed while so many of its parts
+// wait for a connection that it can't be answered: they would only hold up
+// others.
+func (s *State) giveUpUnsent(r *request) bool {
+	if !r.route.config.IsGather() {
+		return false
+	}
+	waiting := 0
+	for _, p := range r.parts {
+		if p.phase == partWaiting {
+			waiting++
+		}
+	}
+	if len(r.parts)-r.missing-waiting >= r.needed() {
+		return false
+	}
+	s.fail(r, ReasonOverload)
+	return true
+}
+
 // refuseUnsent refuses a plain request that has waited for a connection for as
 // long as it may: the caller can then go elsewhere in time.
 func (s *State) refuseUnsent(r *request) {
@@ -118,8 +138,8 @@
 		return
 	}
 	at := r.deadline.Add(-answerMargin)
-	if r.answerBy.After(s.now) && r.answerBy.Before(at) {
-		at = r.answerBy
+	if r.due.After(s.now) && r.due.Before(at) {
+		at = r.due
 	}
 	delay := s.hedgeDelay(r.route)
 	for _, p := range r.parts {
--- /dev/null
+++ b/internal/entry/forward/overload_test.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"container/heap"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// playground runs targets with slots and first-come queues against the reducer,
+// in virtual time.
+type playground struct {
+	*world
+	work    time.Duration
+	running map[string]int
+	queued  map[string][]Send
+	due     dueList
+	ended   map[RequestID]outcomeOf
+	arrived map[RequestID]time.Time
+}
+
+// outcomeOf is how a request ended.
+type outcomeOf struct {
+	status int
+	took   time.Duration
+}
+
+// dueEvent is something that happens later.
+type dueEvent struct {
+	at   time.Time
+	what func()
+}
+
+type dueList []dueEvent
+
+func (d dueList) Len() int           { return len(d) }
+func (d dueList) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d dueList) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+
+// Push implements heap.Interface.
+func (d *dueList) Push(x any) { *d = append(*d, x.(dueEvent)) }
+
+// Pop implements heap.Interface.
+func (d *dueList) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+func newPlayground(w *world, work time.Duration) *playground {
+	return &playground{
+		world: w, work: work, running: map[string]int{}, queued: map[string][]Send{},
+		ended: map[RequestID]outcomeOf{}, arrived: map[RequestID]time.Time{},
+	}
+}
+
+func (p *playground) later(d time.Duration, what func()) {
+	heap.Push(&p.due, dueEvent{p.now.Add(d), what})
+}
+
+// event plays an event and lets the targets and timers act on its effects.
+func (p *playground) event(ev Event) {
+	for _, e := range p.play(ev) {
+		switch e := e.(type) {
+		case Send:
+			p.take(e)
+		case SetTimer:
+			at := e.At
+			p.later(max(0, at.Sub(p.now)), func() { p.event(TimerFired{Request: e.Request}) })
+		case Merge:
+			p.answer(e.Request, http.StatusOK)
+		case Pass:
+			p.answer(e.Request, http.StatusOK)
+		case Refuse:
+			p.answer(e.Request, e.Status)
+		}
+	}
+}
+
+func (p *playground) answer(request RequestID, status int) {
+	p.ended[request] = outcomeOf{status, p.now.Sub(p.arrived[request])}
+}
+
+func (p *playground) take(send Send) {
+	target := string(send.Target)
+	if p.running[target] >= 3 {
+		p.queued[target] = append(p.queued[target], send)
+		return
+	}
+	p.running[target]++
+	p.later(p.work, func() { p.finish(target, send) })
+}
+
+func (p *playground) finish(target string, send Send) {
+	p.running[target]--
+	if next := p.queued[target]; len(next) > 0 {
+		p.queued[target] = next[1:]
+		p.take(next[0])
+	}
+	report := LoadReport{Known: true, Running: p.running[target], Waiting: len(p.queued[target]), Slots: 3}
+	p.event(AttemptEnded{Attempt: send.Attempt, Outcome: OutcomeSuccess, Status: 200, Load: report})
+}
+
+// run sends requests at a rate for a while and lets everything end.
+func (p *playground) run(host string, perSecond int, d time.Duration) {
+	gap := time.Second / time.Duration(perSecond)
+	for i := range int(d / gap) {
+		p.later(time.Duration(i)*gap, func() {
+			p.next++
+			request := p.next
+			p.arrived[request] = p.now
+			p.event(Arrived{Request: request, Host: host, Path: "/a/x", Deadline: p.now.Add(2 * time.Second), Seed: uint64(request)})
+		})
+	}
+	for len(p.due) > 0 {
+		next := heap.Pop(&p.due).(dueEvent)
+		if next.at.After(p.now) {
+			p.now = next.at
+		}
+		next.what()
+	}
+}
+
+// TestOverloadKeepsTheThroughputUseful plays 1.5 times what the targets can do:
+// most of what they can do must still reach callers within the goal, and the
+// others must be told at once.
+func TestOverloadKeepsTheThroughputUseful(t *testing.T) {
+	const work, seconds = 20 * time.Millisecond, 5
+	pools := []string{"a", "b", "c", "d"}
+	w := newWorld(t, tableOf(1, gatherRoute("h", pools...)))
+	for _, pool := range pools {
+		for i := range 2 {
+			w.target(fmt.Sprintf("%s%d", pool, i), pool, home)
+		}
+	}
+	capacity := int(2 * 3 * time.Second / work)
+	p := newPlayground(w, work)
+	p.run("h", capacity*3/2, seconds*time.Second)
+
+	inGoal, refused, slowest := 0, 0, time.Duration(0)
+	for _, end := range p.ended {
+		switch {
+		case end.status == http.StatusOK && end.took <= 200*time.Millisecond:
+			inGoal++
+		case end.status == http.StatusServiceUnavailable:
+			refused++
+			slowest = max(slowest, end.took)
+		}
+	}
+	assert.Equal(t, len(p.ended), int(p.next), "every request ends")
+	useful := float64(inGoal) / float64(capacity*seconds)
+	assert.Assert(t, useful >= 0.85, "%.2f of the targets' work reaches callers in time", useful)
+	assert.Assert(t, refused > 0)
+	assert.Assert(t, slowest <= 50*time.Millisecond, "a refusal took %v; a quarter of the goal is allowed", slowest)
+}
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/limit"
 )
 
 // pool is a set of targets that answer the same requests equally well.
@@ -19,6 +20,8 @@
 	// waiting are the parts that found no connection, in the order in which
 	// they are to be served.
 	waiting []*part
+	// pace is how fast parts that wait are served.
+	pace limit.Admission
 	// cursor turns the order in which equal targets are tried.
 	cursor int
 }
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -28,6 +28,7 @@
 		p.forget(a)
 		s.takeOutcome(p, a, ev)
 	}
+	a.target.pool.pace.Completed(s.now, len(a.target.pool.waiting))
 	s.pump(a.target.pool)
 	if !r.done {
 		s.setTimer(r)
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -58,9 +58,10 @@
 	seed     uint64
 	arrived  time.Time
 	deadline time.Time
-	// answerBy is when a gather is answered with what it has, if that suffices.
-	answerBy time.Time
-	parts    []*part
+	// due is when the answer must leave to be within the goal. A gather is then
+	// answered with what it has, if that suffices.
+	due   time.Time
+	parts []*part
 	// open is the number of parts that are neither answered nor missing.
 	open    int
 	missing int
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -99,7 +99,7 @@
 // hasRoom reports whether one more request may be sent now. A target at its
 // limit of connections keeps those that it has.
 func (t *target) hasRoom(now time.Time) bool {
-	if now.Before(t.fullUntil) {
+	if now.Before(t.fullUntil) || t.load(now) >= float64(fullRounds*t.news.Slots) {
 		return len(t.outstanding) == 0
 	}
 	return len(t.outstanding) < t.share
