A hedge is held back by what it would bring, and the log says why it was

Change: the target's expected time decides, and parts that wait go first; the log line carries the last reason.

--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -133,8 +133,21 @@
 	Missed int
 	Sends  []SendRecord
 	Hedges int
+	// NoHedge is why the last hedge that was due wasn't sent; empty when none was
+	// held back.
+	NoHedge NoHedge
 }
 
+// NoHedge says why a late part was not sent to a second target.
+type NoHedge string
+
+// Reasons against a hedge.
+const (
+	NoHedgeTarget NoHedge = "no_other_target"
+	NoHedgeBusy   NoHedge = "others_busy"
+	NoHedgeBudget NoHedge = "no_budget"
+)
+
 // SendRecord is one attempt of a request.
 type SendRecord struct {
 	Pool   string
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -251,6 +251,7 @@
 		Parts:        len(r.parts),
 		Missed:       len(r.parts) - r.answered(),
 		Hedges:       r.hedges,
+		NoHedge:      r.noHedge,
 	}
 	if r.route != nil {
 		out.Route = r.route.config.Name
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -81,11 +81,16 @@
 // and the budget allows.
 func (s *State) hedge(p *part) {
 	t, _ := s.choose(p)
-	if t == nil || t.load(s.now) >= float64(t.news.Slots) {
+	switch {
+	case t == nil:
+		p.request.noHedge = NoHedgeTarget
 		return
-	}
-	if !p.pool.budget.spendOnHedge(s.options.Budget, s.now, s.nodeCount()) {
+	case s.tooBusy(p, t):
+		p.request.noHedge = NoHedgeBusy
+		return
+	case !p.pool.budget.spendOnHedge(s.options.Budget, s.now, s.nodeCount()):
 		s.counters.NoBudget++
+		p.request.noHedge = NoHedgeBudget
 		return
 	}
 	p.hedged = true
@@ -94,6 +99,16 @@
 	s.send(p, t, true)
 }
 
+// tooBusy reports whether a hedge to t would come too late to help, or would take
+// the place of parts that wait to be sent at all.
+func (s *State) tooBusy(p *part, t *target) bool {
+	if len(p.pool.waiting) > 0 {
+		return true
+	}
+	expected := s.now.Add(s.score(t, s.usualWork(p.request.route)))
+	return expected.After(p.request.due) && s.now.Before(p.request.due)
+}
+
 // giveUpUnsent ends a gather whose goal has passed while so many of its parts
 // wait for a connection that it can't be answered: they would only hold up
 // others.
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -75,6 +75,7 @@
 	lingering []*attempt
 	sends     []*attempt
 	hedges    int
+	noHedge   NoHedge
 	queued    time.Duration
 }
 
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -220,5 +220,6 @@
 		zap.Int("parts", s.Parts),
 		zap.Int("missed", s.Missed),
 		zap.Int("hedges", s.Hedges),
+		zap.String("no_hedge", string(s.NoHedge)),
 		zap.Array("sends", sendRecords(s.Sends)))
 }
