--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -156,8 +156,10 @@
 	After   time.Duration
 	Took    time.Duration
 	Outcome string
-	Status  int
-	Hedge   bool
+	// Cause says what was wrong; empty for a good reply.
+	Cause  string
+	Status int
+	Hedge  bool
 }
 
 func (Send) effect()     {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -100,7 +100,9 @@
 	Attempt AttemptID
 	Outcome Outcome
 	Status  int
-	Load    LoadReport
+	// Cause says, for the log, what was wrong; empty for a good reply.
+	Cause string
+	Load  LoadReport
 	// Leaving tells that the target closes the connection by its own word.
 	Leaving bool
 	// FreshReset tells that the target reset a connection that had just been
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -261,7 +261,7 @@
 	for _, a := range r.sends {
 		record := SendRecord{
 			Pool: a.part.pool.name, Target: a.target.id(), Hedge: a.hedge,
-			After: a.sent.Sub(r.arrived), Outcome: a.outcome, Status: a.status,
+			After: a.sent.Sub(r.arrived), Outcome: a.outcome, Cause: a.cause, Status: a.status,
 		}
 		if a.outcome == "" {
 			record.Outcome = "unanswered"
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -16,7 +16,7 @@
 		return
 	}
 	delete(s.attempts, ev.Attempt)
-	a.ended, a.outcome, a.status = s.now, ev.Outcome.String(), ev.Status
+	a.ended, a.outcome, a.cause, a.status = s.now, ev.Outcome.String(), ev.Cause, ev.Status
 	a.target.remove(a)
 	s.learn(a, ev)
 	p := a.part
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -120,6 +120,7 @@
 	// excused tells that its lateness says nothing of the target.
 	excused bool
 	outcome string
+	cause   string
 	status  int
 }
 
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -120,13 +121,17 @@
 	_, notRun := reply.Header[http.CanonicalHeaderKey(own.NotRun)]
 	switch {
 	case echoed != "" && echoed != w.id:
-		ended.Outcome = forward.OutcomeBroken
+		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply to request "+echoed
 	case reply.Status == http.StatusMisdirectedRequest:
 		ended.Outcome = forward.OutcomeWrongTarget
 	case notRun:
 		ended.Outcome = forward.OutcomeNotRun
-	case echoed == "" || reply.Header.Get(own.Signature) == "" || reply.Header.Get("Content-Encoding") != "":
-		ended.Outcome = forward.OutcomeBroken
+	case echoed == "":
+		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply names no request"
+	case reply.Header.Get(own.Signature) == "":
+		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply is not signed"
+	case reply.Header.Get("Content-Encoding") != "":
+		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply has an encoding that was not asked for"
 	case reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices:
 		ended.Outcome = forward.OutcomeSuccess
 	default:
@@ -136,7 +141,7 @@
 }
 
 func classifyError(err error) forward.AttemptEnded {
-	ended := forward.AttemptEnded{Outcome: forward.OutcomeBroken}
+	ended := forward.AttemptEnded{Outcome: forward.OutcomeBroken, Cause: causeOf(err)}
 	var lost *pool.Error
 	if errors.As(err, &lost) {
 		ended.Dialed = lost.Dialed
@@ -158,6 +163,24 @@
 	return ended
 }
 
+// causeOf returns what went wrong without the addresses, which the target's
+// name tells.
+func causeOf(err error) string {
+	var errno syscall.Errno
+	switch {
+	case errors.As(err, &errno):
+		return errno.Error()
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "reply broke off"
+	case errors.Is(err, io.EOF):
+		return "connection closed without a reply"
+	}
+	for errors.Unwrap(err) != nil {
+		err = errors.Unwrap(err)
+	}
+	return err.Error()
+}
+
 // parseLoad reads "running,waiting,slots"; further fields are ignored.
 func parseLoad(text string) forward.LoadReport {
 	fields := strings.Split(text, ",")
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -141,6 +141,9 @@
 	enc.AddDuration("after", r.After)
 	enc.AddDuration("took", r.Took)
 	enc.AddString("outcome", r.Outcome)
+	if r.Cause != "" {
+		enc.AddString("cause", r.Cause)
+	}
 	if r.Status != 0 {
 		enc.AddInt("status", r.Status)
 	}
