wigeonctl table: show and replace the routing table

The routing table could be replaced only by the provider's operator. Control.ReadTable is confirmed by a quorum; the driver's part about tables has a file of its own.

--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -10,6 +10,7 @@
 const (
 	MethodWatch        = "Control.Watch"
 	MethodReplaceTable = "Control.ReplaceTable"
+	MethodReadTable    = "Control.ReadTable"
 )
 
 // Document is a routing table as an operator sent it. The control group keeps
@@ -34,6 +35,18 @@
 	Version uint64
 }
 
+// ReadTableArgs asks for the newest routing table.
+type ReadTableArgs struct {
+	Envelope wire.Envelope
+}
+
+// ReadTableReply holds the routing table that a quorum confirms to be the
+// newest; its version is 0 before the first. It holds only with CodeOK.
+type ReadTableReply struct {
+	Result   Result
+	Document Document
+}
+
 // WatchArgs asks for what changed since the watcher's last poll. By polling, a
 // watcher confirms that it acts on everything up to Revision.
 type WatchArgs struct {
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -40,6 +40,7 @@
 			explainCommand(),
 			drainCommand(),
 			replaceCommand(),
+			tableCommand(),
 			checkConfigCommand(),
 		},
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -27,6 +27,26 @@
 	tickets  []api.Ticket
 	reply    api.TicketReply
 	replaces int
+	table    controlrpc.Document
+}
+
+// ReplaceTable takes a higher version.
+func (f *fakeControl) ReplaceTable(args *controlrpc.ReplaceTableArgs, reply *controlrpc.ReplaceTableReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if args.Document.Version > f.table.Version {
+		f.table = args.Document
+	}
+	reply.Version = f.table.Version
+	return nil
+}
+
+// ReadTable returns the table.
+func (f *fakeControl) ReadTable(_ *controlrpc.ReadTableArgs, reply *controlrpc.ReadTableReply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Document = f.table
+	return nil
 }
 
 // Apply records the ticket and gives the reply set.
--- /dev/null
+++ b/internal/ctl/table.go
@@ -0,0 +1,92 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"wigeonbay/internal/cli"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/pack"
+)
+
+// maxTableFileBytes bounds a routing table's file; 400 routes take 100 KB.
+const maxTableFileBytes = 4 << 20
+
+func tableCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "table",
+		Usage: "show or replace the routing table of forwarded requests",
+		Description: "The table is a document that is kept as it was sent. The highest version is in\n" +
+			"force; one that isn't higher is acknowledged and changes nothing.",
+		Commands: []*urfave.Command{
+			{
+				Name:   "get",
+				Usage:  "show the table that a quorum confirms to be the newest",
+				Action: withSession(0, getTable),
+			},
+			{
+				Name:  "apply",
+				Usage: "replace the table by a document",
+				Flags: []urfave.Flag{
+					&urfave.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "read the document from `FILE`", Required: true, TakesFile: true},
+					&urfave.Uint64Flag{Name: "version", Usage: "`VERSION` of the document", Required: true},
+				},
+				Action: withSession(0, applyTable),
+			},
+		},
+	}
+}
+
+// tableShown is the routing table as the command prints it.
+type tableShown struct {
+	Version  uint64 `json:"version"`
+	Document string `json:"document"`
+}
+
+func getTable(ctx context.Context, s *session) error {
+	reply, err := ask(ctx, s.controls, controlrpc.MethodReadTable, &controlrpc.ReadTableArgs{},
+		func(r *controlrpc.ReadTableReply) controlrpc.Result { return r.Result })
+	if err != nil {
+		return err
+	}
+	if reply.Document.Version == 0 {
+		return fmt.Errorf("there is no routing table yet")
+	}
+	document, err := pack.Unpack(reply.Document.Packed)
+	if err != nil {
+		return fmt.Errorf("routing table %d: %w", reply.Document.Version, err)
+	}
+	shown := tableShown{Version: reply.Document.Version, Document: string(document)}
+	return s.out.write(shown, func(w io.Writer) { line(w, "%s", shown.Document) })
+}
+
+func applyTable(ctx context.Context, s *session) error {
+	path := s.command.String("file")
+	file, err := os.Open(path)
+	if err != nil {
+		return cli.Usagef("%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	document, err := io.ReadAll(io.LimitReader(file, maxTableFileBytes+1))
+	if err != nil {
+		return cli.Usagef("read %s: %v", path, err)
+	}
+	if len(document) == 0 || len(document) > maxTableFileBytes {
+		return cli.Usagef("%s has %d bytes; 1 to %d are allowed", path, len(document), maxTableFileBytes)
+	}
+	packed, err := pack.Pack(document)
+	if err != nil {
+		return err
+	}
+	args := &controlrpc.ReplaceTableArgs{Document: controlrpc.Document{Version: s.command.Uint64("version"), Packed: packed}}
+	reply, err := ask(ctx, s.controls, controlrpc.MethodReplaceTable, args,
+		func(r *controlrpc.ReplaceTableReply) controlrpc.Result { return r.Result })
+	if err != nil {
+		return err
+	}
+	return s.out.write(reply.Version, func(w io.Writer) { line(w, "routing table %d is durable", reply.Version) })
+}
