A node that starts where control is cut off gets what its neighbours serve

Change: a control process that lacks a watcher's table asks for it and hands it on; reads and orders go by the log alone. Shown by: TestTableOfNeighboursReachesANodeThatStarts fails on the parent (no WantTable). Left: a control replica that restarts as well forgets it. Also: TestCommittedEntryIsAppliedOnlyAfterTheOwnSync, the missing test of a rule that held.

--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -245,3 +245,23 @@
 		}
 	}, poll.WithTimeout(5*time.Second))
 }
+
+// TestTableOfNeighboursReachesANodeThatStarts has a replica that is cut off and
+// behind: an entry node that starts there gets what the others serve, and no
+// operator reads it as confirmed.
+func TestTableOfNeighboursReachesANodeThatStarts(t *testing.T) {
+	s := newSeeded(t, "a", "b", "c")
+	alone := s.launch(s.members[0], true)
+	poll1 := func(node string, version uint64, table *controlrpc.Document) controlrpc.WatchReply {
+		var reply controlrpc.WatchReply
+		args := &controlrpc.WatchArgs{Node: node, Kind: discovery.WatcherEntry, DataCentre: "dc-a", TableVersion: version, Table: table}
+		alone.watchHere(context.Background(), args, 0, &reply)
+		return reply
+	}
+	assert.Assert(t, poll1("old", 5, nil).WantTable)
+	assert.Assert(t, !poll1("old", 5, &controlrpc.Document{Version: 5, Packed: []byte("five")}).WantTable)
+	started := poll1("new", 0, nil)
+	assert.Equal(t, started.Table.Version, uint64(5))
+	assert.Equal(t, started.QuorumAgeMS, int64(-1), "and it is not taken for confirmed")
+	assert.Equal(t, alone.table().Version, uint64(0))
+}
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -45,6 +45,8 @@
 	mu       sync.Mutex
 	targets  *discovery.Targets
 	watchers *discovery.Watchers
+	// seen is the newest routing table that a watcher brought.
+	seen controlrpc.Document
 }
 
 func newDirectory(epoch uint64) *directory {
@@ -153,6 +155,7 @@
 		since = 0
 	}
 	n.notePoll(args, since)
+	n.noteTable(args)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; waiting && !n.hasNews(args, since); {
@@ -198,15 +201,53 @@
 	n.directory.mu.Lock()
 	revision := n.directory.targets.Revision()
 	n.directory.mu.Unlock()
-	return revision > since || args.Epoch != n.directory.epoch || n.table().Version > args.TableVersion
+	return revision > since || args.Epoch != n.directory.epoch || n.newestTable().Version > args.TableVersion || n.lacksTable(args)
+}
+
+// noteTable takes the routing table that a watcher brings. It was committed, or
+// the watcher would not have it; this replica may have been cut off meanwhile.
+// It is handed on to other watchers, so that an entry node that starts in a data
+// centre that is cut off gets nothing older than its neighbours serve. The log
+// alone decides about reads and orders.
+func (n *Node) noteTable(args *controlrpc.WatchArgs) {
+	if args.Table == nil {
+		return
+	}
+	n.directory.mu.Lock()
+	newer := args.Table.Version > n.directory.seen.Version
+	if newer {
+		n.directory.seen = *args.Table
+	}
+	n.directory.mu.Unlock()
+	if newer {
+		n.directory.changed.signal()
+	}
+}
+
+// lacksTable reports whether a watcher holds a newer routing table than any that
+// this process has heard of.
+func (n *Node) lacksTable(args *controlrpc.WatchArgs) bool {
+	return args.Kind == discovery.WatcherEntry && args.TableVersion > n.newestTable().Version
+}
+
+// newestTable returns the newest routing table that is known to be committed.
+func (n *Node) newestTable() controlrpc.Document {
+	table := n.table()
+	n.directory.mu.Lock()
+	defer n.directory.mu.Unlock()
+	if n.directory.seen.Version > table.Version {
+		return n.directory.seen
+	}
+	return table
 }
 
 func (n *Node) fillWatch(args *controlrpc.WatchArgs, since uint64, reply *controlrpc.WatchReply) {
 	d := n.directory
 	reply.Epoch = d.epoch
 	reply.QuorumAgeMS = n.quorumAgeMS()
-	table := n.table()
+	table := n.newestTable()
 	reply.TableVersion = table.Version
+	reply.WantTable = n.lacksTable(args)
 	if table.Version > args.TableVersion {
 		reply.Table = &table
 	}
--- a/internal/control/replica/follow_test.go
+++ b/internal/control/replica/follow_test.go
@@ -182,3 +182,35 @@
 	assert.Equal(t, len(s.Step(Receive{m})), 0)
 	assert.Equal(t, s.Term(), uint64(2))
 }
+
+// TestCommittedEntryIsAppliedOnlyAfterTheOwnSync gives a follower an entry that is
+// committed elsewhere already. Applied before the own sync it could enter a
+// snapshot that reaches past the log on the disk.
+func TestCommittedEntryIsAppliedOnlyAfterTheOwnSync(t *testing.T) {
+	self, leader := Identity{ID: "b", Incarnation: "1"}, Identity{ID: "a", Incarnation: "1"}
+	members := Membership{Group: "g", Members: []Member{{Identity: leader, Voter: true}, {Identity: self, Voter: true}}}
+	first := Entry{Index: 1, Term: 1, Kind: EntryMembership, Membership: &members}
+	s := New(Config{Self: self, Heartbeat: 1, ElectionTimeout: 10}, Restored{HardState: HardState{Term: 1}, Entries: []Entry{first}})
+	effects := s.Step(Receive{Message: Message{Group: "g", From: leader, To: self, Term: 1, Body: AppendRequest{
+		PrevIndex: 1, PrevTerm: 1, Commit: 2, Entries: []Entry{{Index: 2, Term: 1, Kind: EntryCommand, Data: []byte("x")}},
+	}}})
+	var seq uint64
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Apply:
+			for _, entry := range e.Entries {
+				assert.Assert(t, entry.Index < 2, "applied before its sync")
+			}
+		case Persist:
+			seq = e.Seq
+		}
+	}
+	assert.Equal(t, s.Commit(), uint64(2))
+	applied := false
+	for _, effect := range s.Step(Persisted{Seq: seq}) {
+		if e, ok := effect.(Apply); ok {
+			applied = applied || e.Entries[len(e.Entries)-1].Index == 2
+		}
+	}
+	assert.Assert(t, applied)
+}
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -60,6 +60,8 @@
 	Revision uint64
 	// TableVersion is the version of the routing table that the watcher holds.
 	TableVersion uint64
+	// Table is the watcher's own routing table, when the last reply asked for it.
+	Table *Document
 	// WaitMS is how long the call may be held until there is news.
 	WaitMS int64
 }
@@ -76,6 +78,9 @@
 	Table *Document
 	// TableVersion is the version that the control process holds.
 	TableVersion uint64
+	// WantTable asks for the watcher's routing table with its next poll: it is
+	// newer than what the control process has heard of.
+	WantTable bool
 	// QuorumAgeMS is as in FetchReply.
 	QuorumAgeMS int64
 	// Controls are the addresses of the control processes.
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -46,6 +46,9 @@
 	Logger *zap.Logger
 	// TableVersion returns the version of the routing table in force here.
 	TableVersion func() uint64
+	// Table returns the routing table in force here, for a control process that
+	// lacks it; nil for none.
+	Table func() *controlrpc.Document
 	// OnReply acts on a reply. The next poll at that control process confirms
 	// the news, so it must be in force when OnReply returns. Replies of
 	// different control processes may come at the same time.
@@ -68,6 +71,8 @@
 	epoch    uint64
 	revision uint64
 	reached  bool
+	// wantsTable tells that the process asked for the routing table held here.
+	wantsTable bool
 	// named is when a reply or the settings last named the process.
 	named time.Time
 }
@@ -162,6 +167,9 @@
 		Revision:     p.revision,
 		TableVersion: w.cfg.TableVersion(),
 	}
+	if p.wantsTable && w.cfg.Table != nil {
+		args.Table = w.cfg.Table()
+	}
 	if p.reached {
 		args.WaitMS = pollWait.Milliseconds()
 	}
@@ -170,7 +178,7 @@
 	good := err == nil && reply.Result.Code == controlrpc.CodeOK
 	if good {
 		w.cfg.OnReply(address, &reply)
-		p.epoch, p.revision = reply.Epoch, reply.Revision
+		p.epoch, p.revision, p.wantsTable = reply.Epoch, reply.Revision, reply.WantTable
 		w.Name(reply.Controls)
 	}
 	w.note(address, p, good, err)
--- a/internal/entry/forwarder/news.go
+++ b/internal/entry/forwarder/news.go
@@ -36,6 +36,7 @@
 	if table != nil && table.Version > n.state.TableVersion() {
 		n.stepLocked(forward.TableInstalled{Table: table})
 		n.bodyMax = table.Limits.BodyBytes
+		n.document.Store(reply.Table)
 		n.tableHeld.Store(table.Version)
 		telemetry.ForwardTableInForce.Log(n.logger,
 			zap.Uint64("version", table.Version),
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/discovery/watch"
 	"wigeonbay/internal/entry/forward"
@@ -73,6 +74,7 @@
 
 	lastRequest atomic.Uint64
 	tableHeld   atomic.Uint64
+	document    atomic.Pointer[controlrpc.Document] // of the table in force
 	draining    atomic.Bool
 	refusing    atomic.Bool
 	lastServed  atomic.Int64
@@ -113,6 +115,7 @@
 		Client:       n.client,
 		Logger:       cfg.Logger,
 		TableVersion: n.tableHeld.Load,
+		Table:        n.document.Load,
 		OnReply:      n.takeNews,
 	})
 	return n
