--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -26,6 +27,7 @@
 
 // run serves until ctx ends or the replica can't go on.
 func run(ctx context.Context, config *settings.Control) error {
+	debug.SetGCPercent(config.Runtime.GCPercent)
 	app := fx.New(
 		fx.Supply(config),
 		fx.Provide(newLogger, newSecurity, newNode, newOperators),
--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/fx"
@@ -39,6 +40,7 @@
 
 // run serves until ctx ends, then shuts down without cutting off a request.
 func run(ctx context.Context, config *settings.Entry, changed reloads) error {
+	debug.SetGCPercent(config.Runtime.GCPercent)
 	parts := []fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -2,9 +2,12 @@
 
 import "time"
 
+// defaultGCPercent is the Go runtime's own default.
+const defaultGCPercent = 100
+
 // DefaultEntry returns wigeon-entry's settings before a file is read.
 func DefaultEntry() *Entry {
-	return &Entry{Forward: Forward{
+	return &Entry{Runtime: Runtime{GCPercent: defaultGCPercent}, Forward: Forward{
 		ExtraRatio:   0.1,
 		ExtraSlack:   20,
 		ExtraWindow:  10 * time.Second,
@@ -31,6 +34,7 @@
 			LostAfter:   1500 * time.Millisecond,
 			ForgetAfter: 30 * time.Second,
 		},
-		Group: "wigeonbay",
+		Runtime: Runtime{GCPercent: defaultGCPercent},
+		Group:   "wigeonbay",
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,7 @@
 	Limits    EntryLimits `ini:"limits"`
 	Discovery Discovery   `ini:"discovery"`
 	Forward   Forward     `ini:"forward"`
+	Runtime   Runtime     `ini:"runtime"`
 	// Controls are the control processes, from [control NAME] sections.
 	Controls []Peer `ini:"control"`
 	// Peers are other entry nodes to begin with, from [peer NAME] sections.
@@ -120,6 +121,13 @@
 	Port int `ini:"port"`
 }
 
+// Runtime trades processor time for memory.
+type Runtime struct {
+	// GCPercent is how much the heap may grow, in percent, before it is
+	// collected.
+	GCPercent int `ini:"gc_percent" check:"positive"`
+}
+
 // Repair says what the control group does about lost replicas. It needs
 // discovery: replicas then ask to be taken in by themselves.
 type Repair struct {
@@ -161,6 +169,7 @@
 	Replication Replication   `ini:"replication"`
 	Discovery   Discovery     `ini:"discovery"`
 	Repair      Repair        `ini:"repair"`
+	Runtime     Runtime       `ini:"runtime"`
 	// Group is the name of the control group; replicas of another are refused.
 	Group string `ini:"group" check:"required"`
 	// Join makes the process wait, as a learner, to be brought in by
