--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -63,11 +63,11 @@
 	running sync.WaitGroup
 
 	mu    sync.Mutex
-	polls map[string]*poll
+	polls map[string]*followed
 }
 
-// poll is what is known of one control process.
-type poll struct {
+// followed is what is known of one control process.
+type followed struct {
 	epoch    uint64
 	revision uint64
 	reached  bool
@@ -79,7 +79,7 @@
 
 // New returns a watcher that has not started.
 func New(cfg Config) *Watcher {
-	w := &Watcher{cfg: cfg, polls: map[string]*poll{}}
+	w := &Watcher{cfg: cfg, polls: map[string]*followed{}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
@@ -108,7 +108,7 @@
 			known.named = time.Now()
 			continue
 		}
-		p := &poll{named: time.Now()}
+		p := &followed{named: time.Now()}
 		w.polls[address] = p
 		w.running.Go(func() { w.follow(address, p) })
 	}
@@ -140,7 +140,7 @@
 
 // follow polls one control process until the watcher stops or the process is
 // forgotten.
-func (w *Watcher) follow(address string, p *poll) {
+func (w *Watcher) follow(address string, p *followed) {
 	backoff := minBackoff
 	for w.ctx.Err() == nil {
 		if w.pollOnce(address, p) {
@@ -156,7 +156,7 @@
 	}
 }
 
-func (w *Watcher) pollOnce(address string, p *poll) bool {
+func (w *Watcher) pollOnce(address string, p *followed) bool {
 	ctx, cancel := context.WithTimeout(w.ctx, pollWait+pollTimeout)
 	defer cancel()
 	args := &controlrpc.WatchArgs{
@@ -186,7 +186,7 @@
 }
 
 // note logs when a control process is lost or regained.
-func (w *Watcher) note(address string, p *poll, good bool, err error) {
+func (w *Watcher) note(address string, p *followed, good bool, err error) {
 	w.mu.Lock()
 	before := p.reached
 	p.reached = good
@@ -202,7 +202,7 @@
 }
 
 // forget gives up a control process that has been silent and unnamed for long.
-func (w *Watcher) forget(address string, p *poll) bool {
+func (w *Watcher) forget(address string, p *followed) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if time.Since(p.named) < forgetAfter || len(w.polls) == 1 {
--- /dev/null
+++ b/internal/discovery/watch/watch_test.go
@@ -0,0 +1,179 @@
+package watch
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/wire"
+)
+
+// stub is a control process that answers polls from a function.
+type stub struct {
+	mu     sync.Mutex
+	answer func(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply)
+}
+
+// Watch implements the method of control processes.
+func (s *stub) Watch(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	s.mu.Lock()
+	answer := s.answer
+	s.mu.Unlock()
+	answer(args, reply)
+	return nil
+}
+
+func (s *stub) serve(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := wire.NewServer()
+	assert.NilError(t, server.Register("Control", s))
+	server.Serve(listener)
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+func watcher(t testing.TB, dial wire.DialFunc, onReply func(string, *controlrpc.WatchReply), seeds ...string) *Watcher {
+	client := wire.NewClient(dial)
+	w := New(Config{
+		Node: "e1", Kind: discovery.WatcherEntry, DataCentre: "d", Seeds: seeds, Client: client, Logger: zap.NewNop(),
+		TableVersion: func() uint64 { return 3 },
+		Table:        func() *controlrpc.Document { return &controlrpc.Document{Version: 3} },
+		OnReply:      onReply,
+	})
+	t.Cleanup(func() {
+		w.Stop()
+		client.Close()
+	})
+	return w
+}
+
+func TestPollConfirmsWhatTheLastOneBrought(t *testing.T) {
+	var confirmed atomic.Uint64
+	s := &stub{answer: func(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
+		if args.Epoch == 9 {
+			confirmed.Store(args.Revision)
+			time.Sleep(10 * time.Millisecond)
+		}
+		reply.Epoch, reply.Revision = 9, 4
+	}}
+	var acted atomic.Bool
+	w := watcher(t, nil, func(string, *controlrpc.WatchReply) {
+		assert.Check(t, confirmed.Load() == 0 || acted.Load(), "confirmed before it was acted on")
+		acted.Store(true)
+	}, s.serve(t))
+	w.Start()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if confirmed.Load() == 4 {
+			return poll.Success()
+		}
+		return poll.Continue("not confirmed")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+func TestFurtherControlProcessesAreFollowed(t *testing.T) {
+	var found atomic.Bool
+	second := &stub{answer: func(*controlrpc.WatchArgs, *controlrpc.WatchReply) {
+		found.Store(true)
+		time.Sleep(10 * time.Millisecond)
+	}}
+	address := second.serve(t)
+	first := &stub{answer: func(_ *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
+		reply.Controls = []string{address}
+		time.Sleep(10 * time.Millisecond)
+	}}
+	// A seed that nobody listens on any more holds up nothing.
+	w := watcher(t, nil, func(string, *controlrpc.WatchReply) {}, "127.0.0.1:1", first.serve(t))
+	w.Start()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if found.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("not followed")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+func TestTableIsBroughtWhenItIsAskedFor(t *testing.T) {
+	var brought atomic.Uint64
+	s := &stub{answer: func(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
+		reply.WantTable = args.Table == nil
+		if args.Table != nil {
+			brought.Store(args.Table.Version)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}}
+	w := watcher(t, nil, func(string, *controlrpc.WatchReply) {}, s.serve(t))
+	w.Start()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if brought.Load() == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("not brought")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// countingConn counts bytes both ways.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkPoll measures one poll with some changed targets, both ends together.
+func BenchmarkPoll(b *testing.B) {
+	for name, changed := range map[string]int{"idle": 0, "one-target": 1, "hundred-targets": 100} {
+		b.Run(name, func(b *testing.B) {
+			targets := make([]api.Announcement, changed)
+			for i := range targets {
+				targets[i] = api.Announcement{
+					Target: "i-7f3a91c2ab", Incarnation: 1790000000123, Sequence: 4, Service: "huvo11a",
+					Address: "10.128.0.9:8080", DataCentre: "astana-a", State: api.TargetReady, Slots: 3,
+				}
+			}
+			s := &stub{answer: func(_ *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
+				*reply = controlrpc.WatchReply{
+					Epoch: 9, Revision: 4, TableVersion: 7, Targets: targets,
+					Controls:   []string{"10.1.0.42:7740", "10.2.0.34:7740", "10.3.0.31:7740"},
+					EntryNodes: map[string]int{"astana-a": 3, "almaty-a": 3, "aktobe-a": 3},
+				}
+			}}
+			var bytes atomic.Int64
+			dial := func(ctx context.Context, address string) (net.Conn, error) {
+				raw, err := wire.DialTCP(ctx, address)
+				return countingConn{raw, &bytes}, err
+			}
+			address := s.serve(b)
+			w := watcher(b, dial, func(string, *controlrpc.WatchReply) {}, address)
+			p := &followed{}
+			w.pollOnce(address, p)
+			bytes.Store(0)
+			for b.Loop() {
+				w.pollOnce(address, p)
+			}
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/poll")
+		})
+	}
+}
