--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -103,8 +103,6 @@
 	// Cause says, for the log, what was wrong; empty for a good reply.
 	Cause string
 	Load  LoadReport
-	// Leaving tells that the target closes the connection by its own word.
-	Leaving bool
 	// FreshReset tells that the target reset a connection that had just been
 	// opened, as one at its limit does.
 	FreshReset bool
@@ -116,8 +114,6 @@
 type ProbeEnded struct {
 	Target  api.TargetID
 	Healthy bool
-	// Took is how long the target took to answer.
-	Took time.Duration
 }
 
 // ShuttingDown ends the requests that are left: the process is about to end.
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -66,9 +66,11 @@
 	// errorCost times a request's work is the cost of a failure: another target
 	// is asked, and what was done is lost.
 	errorCost = 8.0
-	// remotePenalty is what a target in another data centre must be faster by,
-	// beyond the way there: traffic between regions is dear.
-	remotePenalty = 5 * time.Millisecond
+	// remotePenalty times the way there and back is what a target in another data
+	// centre must be faster by beside it, at most maxRemotePenalty: traffic between
+	// regions is dear, that between data centres of a region is not.
+	remotePenalty    = 0.3
+	maxRemotePenalty = 5 * time.Millisecond
 )
 
 // score is the time that a request with some work is expected to take at t.
@@ -83,7 +85,7 @@
 	expected += errorCost * float64(work) * t.errorRate(s.now)
 	distance := s.distance(t)
 	if !t.local {
-		expected += float64(remotePenalty)
+		expected += min(float64(maxRemotePenalty), remotePenalty*float64(distance))
 	}
 	return distance + time.Duration(expected) + t.stalled(s.now, distance)
 }
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -102,7 +102,6 @@
 		p.sends--
 	}
 	p.request.ran = p.request.ran || ev.Outcome.MayHaveRun()
-	p.request.offered = p.request.offered || !ev.Outcome.Unsent()
 	switch {
 	case p.phase == partAnswered:
 		s.emit(Discard{Attempt: a.id})
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -66,10 +66,8 @@
 	open    int
 	missing int
 	// ran tells that a target may have worked on the request.
-	ran bool
-	// offered tells that it was sent to a target at all.
-	offered bool
-	done    bool
+	ran  bool
+	done bool
 	// lingering are attempts of a request that is over; they are cancelled if
 	// they last.
 	lingering []*attempt
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -11,6 +11,9 @@
 	"syscall"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/pool"
 )
@@ -31,6 +34,9 @@
 	n.cancels[e.Attempt] = cancel
 	go func() {
 		defer cancel()
+		_, span := tracer.Start(w.ctx, "entry.forward_attempt", trace.WithSpanKind(trace.SpanKindClient),
+			trace.WithAttributes(attribute.String("target", string(e.Target))))
+		defer span.End()
 		request := n.encode(w, e)
 		proof := pool.ProofNone
 		if e.Once {
@@ -112,10 +118,9 @@
 	}
 	own := n.cfg.Headers
 	ended := forward.AttemptEnded{
-		Status:  reply.Status,
-		Dialed:  reply.Dialed,
-		Load:    parseLoad(reply.Header.Get(own.Load)),
-		Leaving: reply.Header.Get("Connection") == "close",
+		Status: reply.Status,
+		Dialed: reply.Dialed,
+		Load:   parseLoad(reply.Header.Get(own.Load)),
 	}
 	echoed := reply.Header.Get(own.RequestID)
 	_, notRun := reply.Header[http.CanonicalHeaderKey(own.NotRun)]
@@ -204,8 +209,8 @@
 		ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 		defer cancel()
 		request := "GET " + e.Path + " HTTP/1.1\r\nHost: " + e.Address + "\r\nConnection: close\r\n\r\n"
-		status, took, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
+		status, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
 		healthy := err == nil && status == http.StatusOK
-		n.step(forward.ProbeEnded{Target: e.Target, Healthy: healthy, Took: took})
+		n.step(forward.ProbeEnded{Target: e.Target, Healthy: healthy})
 	}()
 }
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/entry/forward"
@@ -18,6 +20,8 @@
 	"wigeonbay/internal/telemetry"
 )
 
+var tracer = otel.Tracer("wigeonbay/forwarder")
+
 // waiter is a caller's request that waits for its answer.
 type waiter struct {
 	ctx      context.Context
@@ -60,8 +64,10 @@
 		return
 	}
 	request := forward.RequestID(n.lastRequest.Add(1))
+	ctx, span := tracer.Start(r.Context(), "entry.forward", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	waiting := &waiter{
-		ctx: r.Context(), id: r.Header.Get(n.cfg.Headers.RequestID),
+		ctx: ctx, id: r.Header.Get(n.cfg.Headers.RequestID),
 		incoming: r, body: body, arrived: arrived, done: make(chan answer, 1),
 	}
 	a, ok := n.await(request, waiting, forward.Arrived{
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -209,17 +209,16 @@
 }
 
 // Probe sends a request on a connection of its own, outside the budget, and
-// returns the reply's status and how long it took with the connection.
-func (p *Pool) Probe(ctx context.Context, address, method string, request []byte) (int, time.Duration, error) {
-	began := time.Now()
+// returns the reply's status.
+func (p *Pool) Probe(ctx context.Context, address, method string, request []byte) (int, error) {
 	raw, err := p.dial(ctx, address)
 	if err != nil {
-		return 0, 0, err
+		return 0, err
 	}
 	c := newConn(raw, 0)
 	defer c.close()
 	reply, _, err := c.exchange(ctx, method, request)
-	return reply.Status, time.Since(began), err
+	return reply.Status, err
 }
 
 // Close closes all connections and ends the checks.
