Voters follow the losses to be borne; budgets count by the steady clock

Cause: the template left the group at three voters where two lost disks are to be borne, and a step of the time of day emptied the window of the extra requests.

--- a/internal/control/driver/join.go
+++ b/internal/control/driver/join.go
@@ -113,7 +113,7 @@
 // mend makes the next change that the group needs, if there is one.
 func (n *Node) mend() {
 	policy := repair.Policy{
-		Voters:      n.set.Repair.Voters,
+		Voters:      2*n.set.Repair.ToleratedLosses + 1,
 		LostAfter:   n.set.Repair.LostAfter,
 		ForgetAfter: n.set.Repair.ForgetAfter,
 	}
--- a/internal/entry/forward/budget.go
+++ b/internal/entry/forward/budget.go
@@ -30,13 +30,19 @@
 // budget is one node's share of a pool's budget: the ratio of its own requests,
 // and an equal part of the slack. It counts in a sliding window.
 type budget struct {
+	// began is the time of the first use. Buckets count from it, and not by the
+	// time of day, which may be set meanwhile.
+	began time.Time
 	first [budgetBuckets]float64
 	extra [budgetBuckets]float64
 	at    int64
 }
 
 func (b *budget) turn(rule BudgetRule, now time.Time) {
-	bucket := now.UnixNano() / int64(rule.Window/budgetBuckets)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	bucket := int64(now.Sub(b.began) / (rule.Window / budgetBuckets))
 	steps := min(bucket-b.at, budgetBuckets)
 	for i := range steps {
 		slot := (bucket - i) % budgetBuckets
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -269,6 +269,17 @@
 	return count
 }
 
+func TestSetClockGivesNoBudget(t *testing.T) {
+	var b budget
+	now := time.Now()
+	for b.spend(rule, now, 1) {
+	}
+	// A later reading of the same clock, after the time of day was set forward:
+	// only the steady part of it counts.
+	assert.Assert(t, !b.spend(rule, now.Add(time.Second), 1))
+	assert.Equal(t, b.at, int64(1))
+}
+
 func TestNodesShareTheSlack(t *testing.T) {
 	var alone, shared budget
 	now := time.Unix(1_000_000, 0)
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -77,7 +77,8 @@
 	document    atomic.Pointer[controlrpc.Document] // of the table in force
 	draining    atomic.Bool
 	refusing    atomic.Bool
-	lastServed  atomic.Int64
+	began       time.Time
+	lastServed  atomic.Int64 // nanoseconds since began
 	ctx         context.Context
 	stop        context.CancelFunc
 	running     sync.WaitGroup
@@ -89,6 +90,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg:    cfg,
+		began:  time.Now(),
 		logger: cfg.Logger,
 		client: wire.NewClient(cfg.Dial),
 		state: forward.New(forward.Options{
@@ -180,8 +182,8 @@
 	refuseAt := time.Now().Add(time.Duration(takeFraction * float64(n.cfg.Settings.Forward.ShutdownTime)))
 	sleep(ctx, n.cfg.Settings.Limits.DrainTime)
 	for ctx.Err() == nil {
-		last := time.Unix(0, n.lastServed.Load())
-		quiet := time.Since(last) >= quietTime || n.refusing.Load()
+		idle := time.Since(n.began) - time.Duration(n.lastServed.Load())
+		quiet := idle >= quietTime || n.refusing.Load()
 		if n.InProgress() == 0 && quiet {
 			return
 		}
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -42,7 +42,7 @@
 
 // serveForward answers one request of a caller.
 func (n *Node) serveForward(w http.ResponseWriter, r *http.Request) {
-	n.lastServed.Store(time.Now().UnixNano())
+	n.lastServed.Store(int64(time.Since(n.began)))
 	if n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -30,9 +30,9 @@
 			LedgerRetention: 24 * time.Hour,
 		},
 		Repair: Repair{
-			Voters:      3,
-			LostAfter:   1500 * time.Millisecond,
-			ForgetAfter: 30 * time.Second,
+			ToleratedLosses: 1,
+			LostAfter:       1500 * time.Millisecond,
+			ForgetAfter:     30 * time.Second,
 		},
 		Runtime: Runtime{GCPercent: defaultGCPercent},
 		Group:   "wigeonbay",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,8 +131,9 @@
 // Repair says what the control group does about lost replicas. It needs
 // discovery: replicas then ask to be taken in by themselves.
 type Repair struct {
-	// Voters is the number of voters that the group is to have.
-	Voters int `ini:"voters" check:"positive"`
+	// ToleratedLosses is the number of replicas that may be lost at once. The
+	// group is to have twice as many voters, and one.
+	ToleratedLosses int `ini:"tolerated_losses" check:"positive"`
 	// LostAfter is how long a voter may be silent before a learner that waits
 	// takes its place.
 	LostAfter time.Duration `ini:"lost_after" check:"positive"`
