Idle connections are given up where a target's limit has no room for all nodes

Change: a node keeps an idle connection elsewhere only when there are two for each node; what is idle and not needed is closed after 1.5 s by the tick as well.

--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -70,8 +70,10 @@
 	Target      api.TargetID
 	Address     string
 	Connections int
-	// Ahead is how many are opened before they are needed.
+	// Ahead is how many are opened before they are needed, Kept how many idle
+	// ones are held on to.
 	Ahead int
+	Kept  int
 }
 
 // Forget closes the connections to a target that is gone.
--- a/internal/entry/forward/members.go
+++ b/internal/entry/forward/members.go
@@ -26,6 +26,10 @@
 	spareConnections = 2
 	// unknownConnections is the limit of a target whose pool sets none.
 	unknownConnections = 64
+	// keptConnections is the number of connections for each entry node from which
+	// one holds on to an idle connection to a target elsewhere. With fewer, the
+	// idle connections of all nodes would use up the target's limit.
+	keptConnections = 2.0
 	// aheadConnections are opened to each target of the own data centre before
 	// they are needed: a request that opens one waits for the round trip and
 	// for the slot that accepting it takes.
@@ -132,7 +136,11 @@
 	if t.local && t.accepts() && t.pool.routed {
 		ahead = aheadConnections
 	}
-	s.emit(Connect{Target: t.id(), Address: t.news.Address, Connections: t.share, Ahead: ahead})
+	kept := ahead
+	if usedConnections*float64(most) >= keptConnections*float64(s.nodeCount()) {
+		kept = max(kept, 1)
+	}
+	s.emit(Connect{Target: t.id(), Address: t.news.Address, Connections: t.share, Ahead: ahead, Kept: kept})
 }
 
 // weight is that of a data centre's nodes for a target's connections.
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -48,6 +48,7 @@
 		n.setTimer(e)
 	case forward.Connect:
 		n.pool.Configure(e.Target, e.Address, e.Connections, e.Ahead)
+		n.pool.Keep(e.Target, e.Kept)
 	case forward.Forget:
 		n.pool.Forget(e.Target)
 	case forward.Probe:
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -247,6 +247,7 @@
 			return
 		case <-ticker.C:
 			n.step(forward.Tick{})
+			n.pool.Trim()
 		}
 	}
 }
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -135,6 +135,21 @@
 	}()
 }
 
+// Keep sets how many idle connections to a target are held on to; one, unless it
+// is set. Trim closes the others after a while.
+func (p *Pool) Keep(id api.TargetID, kept int) {
+	if t := p.find(id); t != nil {
+		t.trim(kept)
+	}
+}
+
+// Trim closes the connections that are idle and not needed.
+func (p *Pool) Trim() {
+	for _, t := range p.all() {
+		t.trim(-1)
+	}
+}
+
 // Forget closes the idle connections to a target; those in use are closed when
 // their request ends.
 func (p *Pool) Forget(id api.TargetID) {
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -35,7 +35,7 @@
 }
 
 func newTarget(host string, dial Dial) *target {
-	return &target{dial: dial, host: host, freed: make(chan struct{})}
+	return &target{dial: dial, host: host, kept: 1, freed: make(chan struct{})}
 }
 
 // configure sets the budget; connections above it are closed as they become
@@ -54,9 +54,6 @@
 
 // open opens connections ahead of need until expected are there.
 func (t *target) open(expected int) {
-	t.mu.Lock()
-	t.kept = max(1, expected)
-	t.mu.Unlock()
 	for {
 		t.mu.Lock()
 		full := t.retired || t.opened >= expected || t.opened >= t.most
@@ -200,16 +197,27 @@
 	t.signalLocked()
 }
 
-// trimLocked closes the connection that has been idle for longest, when it is
-// not needed: the target counts it against its limit, also after this node has
+// trimLocked closes the connections that have been idle for long and are not
+// needed: the target counts it against its limit, also after this node has
 // lost its power.
 func (t *target) trimLocked() {
-	if len(t.idle) > t.kept && time.Since(t.idle[0].lastUsed) > trimAfter {
+	for len(t.idle) > t.kept && time.Since(t.idle[0].lastUsed) > trimAfter {
 		t.closeLocked(t.idle[0])
 		t.idle = t.idle[1:]
 	}
 }
 
+// trim closes connections that are not needed, and sets how many idle ones are
+// held on to when kept isn't negative.
+func (t *target) trim(kept int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if kept >= 0 {
+		t.kept = kept
+	}
+	t.trimLocked()
+}
+
 // retire closes the idle connections and refuses further use.
 func (t *target) retire() {
 	t.mu.Lock()
