A control process elsewhere tells of a routing table before it sends it; news of targets is gathered

Change: a watcher of another data centre is first told of the version and asks if it still lacks it after 60 ms; changes of targets are gathered for 40 ms.

--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -260,7 +260,16 @@
 	}
 	assert.Assert(t, poll1("old", 5, nil).WantTable)
 	assert.Assert(t, !poll1("old", 5, &controlrpc.Document{Version: 5, Packed: []byte("five")}).WantTable)
-	started := poll1("new", 0, nil)
+	var started controlrpc.WatchReply
+	alone.watchHere(context.Background(), &controlrpc.WatchArgs{
+		Node: "elsewhere", Kind: discovery.WatcherEntry, DataCentre: "dc-b",
+	}, 0, &started)
+	assert.Assert(t, started.Table == nil && started.TableVersion == 5, "told of it first: it may have it from nearer by")
+	alone.watchHere(context.Background(), &controlrpc.WatchArgs{
+		Node: "elsewhere", Kind: discovery.WatcherEntry, DataCentre: "dc-b", Offered: 5,
+	}, 0, &started)
+	assert.Equal(t, started.Table.Version, uint64(5))
+	started = poll1("new", 0, nil)
 	assert.Equal(t, started.Table.Version, uint64(5))
 	assert.Equal(t, started.QuorumAgeMS, int64(-1), "and it is not taken for confirmed")
 	assert.Equal(t, alone.table().Version, uint64(0))
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -23,6 +23,9 @@
 	// watcherExpiry is how long a watcher counts as live after its last poll:
 	// the longest hold and a round trip with a lost packet.
 	watcherExpiry = maxWatchWait + 500*time.Millisecond
+	// coalesceTime is how long a change of targets waits for further ones. It is
+	// part of the time in which a leaving target is confirmed.
+	coalesceTime = 40 * time.Millisecond
 	// confirmWait bounds how long a leaving target waits for the watchers;
 	// targets give up on a call after a second.
 	confirmWait = 700 * time.Millisecond
@@ -165,6 +168,7 @@
 		}
 		select {
 		case <-changed:
+			n.coalesce(ctx)
 		case <-applied:
 		case <-timer.C:
 			waiting = false
@@ -179,6 +183,19 @@
 	n.fillWatch(args, since, reply)
 }
 
+// coalesce waits a moment for further changes of targets: when many move at once,
+// each node is told a few times and not once for each of them.
+func (n *Node) coalesce(ctx context.Context) {
+	timer := time.NewTimer(coalesceTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-n.calls.stopping:
+	case <-n.stop.Done():
+	}
+}
+
 // notePoll counts the watcher as live. What it polls after is confirmed, which
 // wakes those who wait for that.
 func (n *Node) notePoll(args *controlrpc.WatchArgs, since uint64) {
@@ -248,7 +265,8 @@
 	table := n.newestTable()
 	reply.TableVersion = table.Version
 	reply.WantTable = n.lacksTable(args)
-	if table.Version > args.TableVersion {
+	near := args.DataCentre == n.set.Node.DataCentre
+	if table.Version > args.TableVersion && (near || args.Offered > 0) {
 		reply.Table = &table
 	}
 	reply.Controls = n.controlAddresses()
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -60,6 +60,9 @@
 	Revision uint64
 	// TableVersion is the version of the routing table that the watcher holds.
 	TableVersion uint64
+	// Offered is the version that the control process's last reply told of and the
+	// watcher still lacks; 0 for none.
+	Offered uint64
 	// Table is the watcher's own routing table, when the last reply asked for it.
 	Table *Document
 	// WaitMS is how long the call may be held until there is news.
@@ -74,7 +77,9 @@
 	Epoch    uint64
 	Revision uint64
 	Targets  []api.Announcement
-	// Table is nil unless it is newer than the watcher's.
+	// Table is newer than the watcher's; nil otherwise. A watcher of another data
+	// centre is first told of the version, and gets the table with its next poll
+	// if it still lacks it: it has most likely got it from nearer by.
 	Table *Document
 	// TableVersion is the version that the control process holds.
 	TableVersion uint64
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -22,6 +22,10 @@
 	// pollTimeout is the time for a reply beyond the wait, after which the
 	// connection is replaced: a round trip between regions with a lost packet.
 	pollTimeout = 700 * time.Millisecond
+	// offerPause is how long a watcher waits for a routing table from nearer by
+	// before it asks the control process that told of it: a commit reaches all of
+	// them within a round trip between regions.
+	offerPause = 60 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed poll. Nodes must
 	// be back well within the few seconds after a cut in which they are expected
 	// to act on news again.
@@ -71,6 +75,8 @@
 	epoch    uint64
 	revision uint64
 	reached  bool
+	// offered is the version of a routing table that the process has told of.
+	offered uint64
 	// wantsTable tells that the process asked for the routing table held here.
 	wantsTable bool
 	// named is when a reply or the settings last named the process.
@@ -167,6 +173,9 @@
 		Revision:     p.revision,
 		TableVersion: w.cfg.TableVersion(),
 	}
+	if p.offered > args.TableVersion {
+		args.Offered = p.offered
+	}
 	if p.wantsTable && w.cfg.Table != nil {
 		args.Table = w.cfg.Table()
 	}
@@ -179,12 +188,22 @@
 	if good {
 		w.cfg.OnReply(address, &reply)
 		p.epoch, p.revision, p.wantsTable = reply.Epoch, reply.Revision, reply.WantTable
+		w.awaitTable(p, &reply)
 		w.Name(reply.Controls)
 	}
 	w.note(address, p, good, err)
 	return good
 }
 
+// awaitTable leaves a nearer control process a moment to bring a routing table
+// that this one has told of.
+func (w *Watcher) awaitTable(p *followed, reply *controlrpc.WatchReply) {
+	p.offered = reply.TableVersion
+	if reply.Table == nil && w.cfg.TableVersion() < reply.TableVersion {
+		pause(w.ctx, offerPause)
+	}
+}
+
 // note logs when a control process is lost or regained.
 func (w *Watcher) note(address string, p *followed, good bool, err error) {
 	w.mu.Lock()
