--- a/cmd/wigeon-control/targets.go
+++ b/cmd/wigeon-control/targets.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 
 	"go.uber.org/fx"
@@ -14,6 +13,7 @@
 	"wigeonbay/internal/pack"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
 	"wigeonbay/platform"
 )
 
@@ -52,9 +52,8 @@
 		Handler:           platform.ControlHandler(tables{node}, refused),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	start := func(ctx context.Context) error {
-		var listen net.ListenConfig
-		listener, err := listen.Listen(ctx, "tcp", config.Listen.Targets)
+	start := func(context.Context) error {
+		listener, err := wire.Listen(config.Listen.Targets, nil)
 		if err != nil {
 			return fmt.Errorf("listen for targets: %w", err)
 		}
--- a/cmd/wigeon-entry/forwarding.go
+++ b/cmd/wigeon-entry/forwarding.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -42,7 +41,7 @@
 }
 
 func registerForwarding(lifecycle fx.Lifecycle, node *forwarder.Node) {
-	lifecycle.Append(fx.Hook{OnStart: node.Start, OnStop: node.Stop})
+	lifecycle.Append(fx.StartStopHook(node.Start, node.Stop))
 	lifecycle.Append(fx.StartHook(func() {
 		expvar.Publish("forward", expvar.Func(func() any { return node.Counters() }))
 	}))
@@ -77,9 +76,8 @@
 	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	router.Handle("/metrics", metrics).Methods(http.MethodGet)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: metricsHeaderTimeout}
-	start := func(ctx context.Context) error {
-		var listen net.ListenConfig
-		listener, err := listen.Listen(ctx, "tcp", config.Listen.Operators)
+	start := func(context.Context) error {
+		listener, err := wire.Listen(config.Listen.Operators, nil)
 		if err != nil {
 			return fmt.Errorf("listen for operators: %w", err)
 		}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -124,15 +124,15 @@
 }
 
 // Start opens the listeners and follows the control processes.
-func (n *Node) Start(ctx context.Context) error {
+func (n *Node) Start() error {
 	n.pool = pool.New(nil, pool.WithoutIdleChecks())
-	callers, err := listenOn(ctx, n.cfg.Settings.Listen.Forward)
+	callers, err := wire.Listen(n.cfg.Settings.Listen.Forward, nil)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen for callers: %w", err)
 	}
-	checks, err := listenOn(ctx, n.cfg.Settings.Listen.Ready)
+	checks, err := wire.Listen(n.cfg.Settings.Listen.Ready, nil)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
 	n.callers = n.serve(callers, http.HandlerFunc(n.serveForward))
 	n.checks = n.serve(checks, n.checksHandler())
@@ -218,15 +218,6 @@
 	return n.state.Counters()
 }
 
-func listenOn(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return listener, nil
-}
-
 func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
