--- /dev/null
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -0,0 +1,166 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/entry/pool"
+)
+
+var headers = api.ForwardHeaders{
+	RequestID: "Id", Deadline: "Left", Signature: "Signed", ExpectTarget: "Only",
+	Load: "Load", NotRun: "Not-Run", PartSignatures: "Parts", MissingParts: "Missing",
+}
+
+func testNode() *Node { return &Node{cfg: Config{Headers: headers}} }
+
+func TestRepliesAreClassified(t *testing.T) {
+	good := http.Header{"Id": {"r1"}, "Signed": {"s"}, "Load": {"2, 1,3"}}
+	with := func(name, value string) http.Header {
+		changed := good.Clone()
+		if value == "" {
+			changed.Del(name)
+		} else {
+			changed.Set(name, value)
+		}
+		return changed
+	}
+	cases := []struct {
+		name   string
+		status int
+		header http.Header
+		want   forward.Outcome
+	}{
+		{"whole and signed", 200, good, forward.OutcomeSuccess},
+		{"another success", 204, good, forward.OutcomeSuccess},
+		{"own failure", 500, good, forward.OutcomeFailure},
+		{"own refusal of the content", 404, good, forward.OutcomeFailure},
+		{"full", 503, with("Not-Run", "1"), forward.OutcomeNotRun},
+		{"not run, and not signed", 429, http.Header{"Not-Run": {""}}, forward.OutcomeNotRun},
+		{"another target at the address", 421, http.Header{}, forward.OutcomeWrongTarget},
+		{"another request's", 200, with("Id", "r0"), forward.OutcomeBroken},
+		{"another request's refusal", 503, http.Header{"Id": {"r0"}, "Not-Run": {"1"}}, forward.OutcomeBroken},
+		{"nobody's", 200, with("Id", ""), forward.OutcomeBroken},
+		{"not signed", 200, with("Signed", ""), forward.OutcomeBroken},
+		{"encoded", 200, with("Content-Encoding", "gzip"), forward.OutcomeBroken},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ended := testNode().classify(&waiter{id: "r1"}, pool.Reply{Status: tc.status, Header: tc.header}, nil)
+			assert.Equal(t, ended.Outcome, tc.want)
+			assert.Equal(t, ended.Status, tc.status)
+			assert.Equal(t, ended.Cause != "", tc.want == forward.OutcomeBroken, "%q", ended.Cause)
+		})
+	}
+}
+
+func TestErrorsAreClassified(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want forward.Outcome
+	}{
+		{"no connection", &pool.Error{NotSent: true, Connect: true, Err: syscall.ECONNREFUSED}, forward.OutcomeNotSent},
+		{"at its limit", &pool.Error{NotSent: true, Dialed: time.Millisecond, Err: syscall.ECONNRESET}, forward.OutcomeNoRoom},
+		{"time up before it was sent", &pool.Error{NotSent: true, Err: context.DeadlineExceeded}, forward.OutcomeNotSent},
+		{"reset on the way", &pool.Error{Err: syscall.ECONNRESET}, forward.OutcomeBroken},
+		{"broke off", &pool.Error{Err: io.ErrUnexpectedEOF}, forward.OutcomeBroken},
+		{"time up", &pool.Error{Err: context.DeadlineExceeded}, forward.OutcomeTimeout},
+		{"given up", &pool.Error{Err: fmt.Errorf("read: %w", context.Canceled)}, forward.OutcomeCancelled},
+		{"unknown", errors.New("odd"), forward.OutcomeBroken},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, classifyError(tc.err).Outcome, tc.want)
+		})
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	cases := map[string]forward.LoadReport{
+		"3,0,8":       {Known: true, Running: 3, Slots: 8},
+		" 3, 4 ,8,99": {Known: true, Running: 3, Waiting: 4, Slots: 8},
+		"":            {},
+		"3,0":         {},
+		"3,x,8":       {},
+		"-1,0,8":      {},
+	}
+	for text, want := range cases {
+		assert.Equal(t, parseLoad(text), want, text)
+	}
+}
+
+// TestRequestReachesTheTargetUnchanged reads what is sent as a target would.
+func TestRequestReachesTheTargetUnchanged(t *testing.T) {
+	const raw = "POST /a%2Fb/?x=1&y HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nLeft: 9000\r\nOnly: forged\r\n" +
+		"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n" +
+		"Accept: a\r\nAccept: b\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	incoming, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+	assert.NilError(t, err)
+	w := &waiter{id: "r1", incoming: incoming, body: []byte("body")}
+	sent := testNode().encode(w, forward.Send{Target: "t1", Deadline: time.Now().Add(time.Second)})
+
+	got, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(sent))))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(got.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Method+" "+got.RequestURI+" "+got.Host, "POST /a%2Fb/?x=1&y h.example")
+	assert.Equal(t, string(body), "body")
+	assert.DeepEqual(t, got.Header["Accept"], []string{"a", "b"})
+	assert.Equal(t, got.Header.Get("Id"), "r1")
+	assert.DeepEqual(t, got.Header["Only"], []string{"t1"})
+	left, err := strconv.Atoi(got.Header.Get("Left"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 1000, "%d ms", left)
+	for _, name := range []string{"Connection", "X-Hop", "Keep-Alive"} {
+		assert.Equal(t, got.Header.Get(name), "", name)
+	}
+	assert.Equal(t, got.ContentLength, int64(4))
+}
+
+func TestReadinessNeedsACurrentControlProcess(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	behind := &controlrpc.WatchReply{QuorumAgeMS: -1, TableVersion: 5}
+	current := &controlrpc.WatchReply{QuorumAgeMS: 20, TableVersion: 7}
+
+	var r readiness
+	r.heard(start, behind, 5)
+	assert.Assert(t, !r.observe(start), "it may be behind what was served before")
+	r.heard(start, current, 5)
+	assert.Assert(t, !r.observe(start), "a newer table is on its way")
+	r.heard(start, current, 7)
+	assert.Assert(t, r.observe(start))
+
+	var cut readiness
+	cut.heard(start, behind, 5)
+	assert.Assert(t, !cut.observe(start.Add(settleTime-time.Millisecond)))
+	assert.Assert(t, cut.observe(start.Add(settleTime)), "cut off it serves with what it was given")
+
+	var empty readiness
+	empty.heard(start, &controlrpc.WatchReply{QuorumAgeMS: 20}, 0)
+	assert.Assert(t, !empty.observe(start.Add(time.Hour)), "never without a table")
+}
+
+func TestFewerNodesAreBelievedLater(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	var c nodeCounts
+	assert.DeepEqual(t, c.note(start, map[string]int{"a": 3, "b": 2}), map[string]int{"a": 3, "b": 2})
+	// A control process that has just started knows few of the nodes.
+	assert.Assert(t, c.note(start.Add(time.Second), map[string]int{"a": 1}) == nil)
+	later := start.Add(nodesWindow + 2*time.Second)
+	assert.DeepEqual(t, c.note(later, map[string]int{"a": 1}), map[string]int{"a": 1})
+}
