SIGHUP is answered by every daemon; a test that only platform knows the provider's names

Cause: a control process and a node that only searches took a SIGHUP without a word. Change: control processes follow the seeds of the settings read again; each logs one line.

--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -26,9 +26,11 @@
 const readHeaderTimeout = 5 * time.Second
 
 // run serves until ctx ends or the replica can't go on.
-func run(ctx context.Context, config *settings.Control) error {
+func run(ctx context.Context, config *settings.Control, changed reloads) error {
 	debug.SetGCPercent(config.Runtime.GCPercent)
+	var node *driver.Node
 	app := fx.New(
+		fx.Populate(&node),
 		fx.Supply(config),
 		fx.Provide(newLogger, newSecurity, newNode, newOperators),
 		fx.Invoke(startTracing, func(*driver.Node, *http.Server) {}, serveTargets),
@@ -37,12 +39,7 @@
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	failed := false
-	select {
-	case <-ctx.Done():
-	case signal := <-app.Wait():
-		failed = signal.ExitCode != cli.ExitDone
-	}
+	failed := awaitEnd(ctx, app, changed, node)
 	stopping, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Stop(stopping); err != nil {
@@ -54,6 +51,21 @@
 	return nil
 }
 
+// awaitEnd hands on settings that were read again until the process is to end,
+// and reports whether that is for a failure.
+func awaitEnd(ctx context.Context, app *fx.App, changed reloads, node *driver.Node) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case signal := <-app.Wait():
+			return signal.ExitCode != cli.ExitDone
+		case config := <-changed:
+			node.Reload(config.Discovery)
+		}
+	}
+}
+
 func newLogger(lc fx.Lifecycle, config *settings.Control) (*zap.Logger, error) {
 	logger, err := telemetry.NewLogger(process, config.Node.ID)
 	if err != nil {
--- a/cmd/wigeon-entry/main.go
+++ b/cmd/wigeon-entry/main.go
@@ -53,6 +53,8 @@
 	}
 	if config.Listen.Forward != "" {
 		parts = append(parts, forwarding)
+	} else {
+		parts = append(parts, fx.Invoke(reportReloads))
 	}
 	app := fx.New(parts...)
 	if err := app.Start(ctx); err != nil {
@@ -74,6 +76,23 @@
 	return logger, nil
 }
 
+// reportReloads answers a SIGHUP of a node that takes nothing from its settings
+// while it runs.
+func reportReloads(lifecycle fx.Lifecycle, changed reloads, logger *zap.Logger) {
+	stop := make(chan struct{})
+	report := func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-changed:
+				telemetry.EntryReloadIgnored.Log(logger)
+			}
+		}
+	}
+	lifecycle.Append(fx.StartStopHook(func() { go report() }, func() { close(stop) }))
+}
+
 // startTracing comes before the nodes in the lifecycle, so that it ends after
 // them.
 func startTracing(lifecycle fx.Lifecycle, config *settings.Entry) error {
--- a/internal/control/driver/discover.go
+++ b/internal/control/driver/discover.go
@@ -3,9 +3,13 @@
 import (
 	"math"
 
+	"go.uber.org/zap"
+
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/discovery/watch"
+	"wigeonbay/internal/settings"
+	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wire"
 )
 
@@ -35,6 +39,16 @@
 	go n.keepMembership()
 }
 
+// Reload takes over seeds from settings that were read again; what else they
+// hold needs a restart.
+func (n *Node) Reload(changed settings.Discovery) {
+	seeds := changed.SeedAddresses()
+	if n.watcher != nil {
+		n.watcher.Name(seeds)
+	}
+	telemetry.ControlReloaded.Log(n.logger, zap.Strings("controls", seeds))
+}
+
 func (n *Node) stopDiscovery() {
 	if n.watcher == nil {
 		return
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -25,6 +25,7 @@
 	ControlTableAccepted      = Event{2105, zapcore.InfoLevel, "routing table accepted", "A routing table of at least this version is synced by a quorum."}
 	ControlTableRefused       = Event{2106, zapcore.WarnLevel, "routing table not accepted", "The order was not acknowledged; it may still come into force. The operator sends it again."}
 	ControlMended             = Event{2107, zapcore.InfoLevel, "group mended", "The leader changed the membership by itself: a learner added, promoted, or a lost replica removed. Committed tells whether the step is in force."}
+	ControlReloaded           = Event{2109, zapcore.InfoLevel, "settings reloaded", "The settings were read again; the control processes in controls are followed besides the known ones."}
 	ControlCallFailed         = Event{2108, zapcore.WarnLevel, "call refused", "A call of an operator or a target was refused; the reason is in error."}
 )
 
@@ -39,6 +40,6 @@
 	ControlStarted, ControlStopped, ControlRecovered, ControlRole, ControlFailed,
 	ControlFounded, ControlGroupExists, ControlMembership, ControlRepaired, ControlSnapshot,
 	ControlTargetChanged, ControlLeavingUnconfirmed, ControlWatcherJoined, ControlWatcherLost,
-	ControlTableAccepted, ControlTableRefused, ControlMended, ControlCallFailed,
+	ControlTableAccepted, ControlTableRefused, ControlMended, ControlCallFailed, ControlReloaded,
 	ControlDiskFull, ControlDiskStuck,
 }
--- a/internal/tools/architecture/architecture_test.go
+++ b/internal/tools/architecture/architecture_test.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -157,3 +158,55 @@
 		}
 	}
 }
+
+// providerName matches a string in platform that only the provider speaks.
+var providerName = regexp.MustCompile(`^(X-|/[A-Z][A-Za-z]*\.[A-Z]|/readiness$)`)
+
+// TestOnlyPlatformKnowsTheProvidersNames takes the header names and paths from
+// platform and looks for them everywhere else.
+func TestOnlyPlatformKnowsTheProvidersNames(t *testing.T) {
+	names := map[string]bool{}
+	for _, text := range stringsIn(t, "platform") {
+		if providerName.MatchString(text) {
+			path, _, _ := strings.Cut(text, "{")
+			names[path] = true
+		}
+	}
+	// The project's own interface has a header of the same name.
+	delete(names, "X-Request-Id")
+	assert.Assert(t, len(names) >= 10, "%v", names)
+	for _, top := range []string{"cmd", "internal"} {
+		for _, text := range stringsIn(t, top) {
+			for name := range names {
+				assert.Check(t, !strings.Contains(text, name), "%q is the provider's and stands below %s", name, top)
+			}
+		}
+	}
+}
+
+// stringsIn returns the string literals of the Go files below a folder, tests
+// aside.
+func stringsIn(t *testing.T, top string) []string {
+	t.Helper()
+	var found []string
+	err := filepath.WalkDir(filepath.Join(root, top), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			if literal, ok := node.(*ast.BasicLit); ok && literal.Kind == token.STRING {
+				if text, err := strconv.Unquote(literal.Value); err == nil {
+					found = append(found, text)
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	assert.NilError(t, err)
+	return found
+}
