--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -131,7 +131,8 @@
 	// defaultDistance is the round trip to another data centre before it is
 	// measured: between regions it takes some ten milliseconds.
 	defaultDistance = 20 * time.Millisecond
-	localDistance   = 500 * time.Microsecond
+	// localDistance is the same within a data centre.
+	localDistance = 500 * time.Microsecond
 )
 
 // distance is the round trip to a target.
