--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -17,6 +17,12 @@
 	Load string
 	// NotRun is present if the target did not run the request.
 	NotRun string
+	// Leaving is "1" in every reply of a target that leaves. The target should get no
+	// new requests, whatever it or a control process announces.
+	Leaving string
+	// RetryAfter is the time in seconds for which a target that did not run a request
+	// should get none from this node. Fractions are allowed.
+	RetryAfter string
 	// PartSignatures lists the signatures of the replies merged by a gather.
 	PartSignatures string
 	// MissingParts is the number of parts of a gather that are missing from the
--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 )
 
@@ -27,6 +28,12 @@
 	return s == TargetReady || s == TargetWarming
 }
 
+// Withdrawn reports whether a target in state s accepts no more work, whatever it
+// announces later within its incarnation.
+func (s TargetState) Withdrawn() bool {
+	return s == TargetDraining || s == TargetGone
+}
+
 // Holding lists the shards of a snapshot that a target holds.
 type Holding struct {
 	Snapshot Snapshot `json:"snapshot"`
@@ -64,6 +71,10 @@
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
 }
 
+// FinalSequence is the sequence of an announcement that no other one of the same
+// incarnation supersedes. Targets send lower ones.
+const FinalSequence = math.MaxUint64
+
 // Supersedes reports whether a is newer than b, an announcement of the same
 // target.
 func (a Announcement) Supersedes(b Announcement) bool {
--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -409,6 +409,32 @@
 	assert.NilError(t, <-done)
 }
 
+// TestRestartedProcessLearnsOfWithdrawnTargets lets an entry node report to a control
+// process without records that a target leaves. A delayed announcement must not bring the
+// target back, and a report can't make one ready.
+//
+// fault: kill x announce
+func TestRestartedProcessLearnsOfWithdrawnTargets(t *testing.T) {
+	s := newSeededGroup(t, "a")
+	node := s.launch(s.members[0], true)
+	other := announcement("other", 7, api.TargetReady)
+	other.Address = "127.0.0.1:10"
+	args := &controlrpc.WatchArgs{
+		Node: "entry", Kind: discovery.WatcherEntry, DataCentre: "dc-a",
+		Withdrawals: []api.Announcement{announcement("t", api.FinalSequence, api.TargetDraining), other},
+	}
+	var reply controlrpc.WatchReply
+	node.watchLocal(context.Background(), args, 0, &reply)
+	assert.NilError(t, node.Announce(context.Background(), announcement("t", 3, api.TargetReady)))
+	node.directory.mu.Lock()
+	defer node.directory.mu.Unlock()
+	got, known := node.directory.targets.Find("t")
+	assert.Assert(t, known)
+	assert.Equal(t, got.State, api.TargetDraining)
+	_, known = node.directory.targets.Find("other")
+	assert.Assert(t, !known)
+}
+
 // TestWatcherTableReachesStartingNode starts one of three replicas, so that it
 // has no quorum, as if disconnected, and lacks the newest table. An entry node that starts there must get the table
 // that its neighbours use, and the replica must not count it as confirmed or
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -171,6 +171,11 @@
 	if args.Epoch != d.epoch {
 		since = 0
 	}
+	for _, a := range args.Withdrawals {
+		if a.State.Withdrawn() {
+			n.mergeAnnouncement(a, args.Node)
+		}
+	}
 	n.recordPoll(args, since)
 	n.recordTable(args)
 	timer := time.NewTimer(wait)
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -83,6 +83,10 @@
 	// Table is the watcher's routing table, sent if the last reply set
 	// WantTable.
 	Table *Document
+	// Withdrawals are announcements that targets accept no more work. They carry what
+	// the watcher learned from replies of targets, and to a control process that has
+	// restarted all that the watcher knows.
+	Withdrawals []api.Announcement
 	// WaitMS is how long the call may be held until there is a change, in
 	// milliseconds.
 	WaitMS int64
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -77,6 +77,11 @@
 	// nil for a watcher that wants all records from each control process.
 	Lacks    func(offers []discovery.Offer) []api.TargetID
 	Checksum func() uint64
+	// Withdrawals returns the announcements of targets that accept no more work to
+	// report to a control process: those after a number, or with restarted set all
+	// known ones, since the process has lost its records. It also returns the number
+	// of the last one. Nil for a watcher that reports none.
+	Withdrawals func(number uint64, restarted bool) (withdrawals []api.Announcement, last uint64)
 }
 
 // Watcher polls control processes. It is safe for concurrent use.
@@ -123,6 +128,11 @@
 	peersChecksum uint64
 	controls      []string
 	entryNodes    map[string]int
+	// withdrawalsSent is the number of the last withdrawal reported to the process.
+	// restarted is set after a change of epoch of a process in this data centre, until
+	// it has been told all withdrawals.
+	withdrawalsSent uint64
+	restarted       bool
 	// wantsTable is set if the last reply requested the watcher's routing table.
 	wantsTable bool
 	// lastListed is when a reply or the settings last listed the process.
@@ -231,6 +241,10 @@
 	if p.wantsTable && w.cfg.Table != nil {
 		args.Table = w.cfg.Table()
 	}
+	withdrawalsSent := p.withdrawalsSent
+	if w.cfg.Withdrawals != nil {
+		args.Withdrawals, withdrawalsSent = w.cfg.Withdrawals(p.withdrawalsSent, p.restarted)
+	}
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
@@ -241,6 +255,7 @@
 	err := w.cfg.Client.Call(ctx, address, controlrpc.MethodWatch, args, &reply)
 	succeeded := err == nil && reply.Result.Code == controlrpc.CodeOK
 	if succeeded {
+		p.withdrawalsSent, p.restarted = withdrawalsSent, false
 		p.restoreOmitted(&reply)
 		w.cfg.OnReply(address, &reply)
 		w.updateRevision(p, args.Aside, &reply)
@@ -290,6 +305,8 @@
 func (w *Watcher) updateRevision(p *controlProcess, nearerSource bool, reply *controlrpc.WatchReply) {
 	p.wantsTable = reply.WantTable
 	if reply.Epoch != p.epoch {
+		// One data centre's watchers suffice: control processes tell each other.
+		p.restarted = reply.DataCentre == w.cfg.DataCentre
 		p.epoch, p.revision, p.checksumDelta = reply.Epoch, 0, 0
 	}
 	offersRequested := p.wantsOffers || len(p.offers) > 0
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -125,6 +126,68 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
+// TestWithdrawalsAreReported checks that a control process gets each withdrawal once, and
+// all of them again after it has restarted in the watcher's data centre.
+//
+// fault: kill x announce
+func TestWithdrawalsAreReported(t *testing.T) {
+	var log discovery.Withdrawals
+	log.Add(api.Announcement{Target: "a", State: api.TargetDraining})
+	var mu sync.Mutex
+	var reports []string
+	var epoch atomic.Uint64
+	epoch.Store(1)
+	s := &stubControl{answer: func(args *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, a := range args.Withdrawals {
+			reports = append(reports, string(a.Target))
+		}
+		reply.Epoch, reply.DataCentre = epoch.Load(), "d"
+		time.Sleep(5 * time.Millisecond)
+	}}
+	address := s.serve(t)
+	client := wire.NewClient(nil)
+	w := New(Config{
+		Node: "e1", Kind: discovery.WatcherEntry, DataCentre: "d", Seeds: []string{address}, Client: client, Logger: zap.NewNop(),
+		TableVersion: func() uint64 { return 3 }, OnReply: func(string, *controlrpc.WatchReply) {},
+		Withdrawals: func(number uint64, restarted bool) ([]api.Announcement, uint64) {
+			mu.Lock()
+			defer mu.Unlock()
+			since, last := log.Since(number)
+			if restarted {
+				since = []api.Announcement{{Target: "all", State: api.TargetGone}}
+			}
+			return since, last
+		},
+	})
+	t.Cleanup(func() {
+		w.Stop()
+		client.Close()
+	})
+	awaitReports := func(want ...string) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			mu.Lock()
+			defer mu.Unlock()
+			if slices.Equal(reports, want) {
+				return poll.Success()
+			}
+			return poll.Continue("%v", reports)
+		}, poll.WithTimeout(5*time.Second))
+	}
+	w.Start()
+	awaitReports("a", "all")
+	mu.Lock()
+	log.Add(api.Announcement{Target: "b", State: api.TargetDraining})
+	mu.Unlock()
+	awaitReports("a", "all", "b")
+	epoch.Store(2)
+	awaitReports("a", "all", "b", "all")
+	time.Sleep(50 * time.Millisecond)
+	awaitReports("a", "all", "b", "all")
+}
+
 // answerWithoutChanges answers polls like a control process in the watcher's data
 // centre that has no changes.
 func answerWithoutChanges(_ *controlrpc.WatchArgs, reply *controlrpc.WatchReply) {
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -51,7 +51,7 @@
 		r.returning = r.route.stats.isReturning(ev.Deadline.Sub(s.now))
 	}
 	s.makeParts(r)
-	if !s.enoughPoolsUsable(r) {
+	if s.neededAvailableIn(r) > 0 {
 		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTarget, s.noTargetRetryAfter(r))
 		return
 	}
@@ -102,28 +102,10 @@
 	return max(1, least)
 }
 
-// enoughPoolsUsable reports whether enough pools have a usable target for the request
-// to reach its least coverage.
-func (s *State) enoughPoolsUsable(r *request) bool {
-	usable := 0
-	for _, p := range r.parts {
-		if p.pool.usable() {
-			usable++
-		}
-	}
-	return usable >= r.neededParts()
-}
-
 // noTargetRetryAfter returns the retry time for a request that too few pools can
-// answer: by then each unusable pool's next health check is due.
+// answer: by then enough of them may have a target.
 func (s *State) noTargetRetryAfter(r *request) time.Duration {
-	longest := minRetryAfter
-	for _, p := range r.parts {
-		if !p.pool.usable() {
-			longest = max(longest, s.untilNextProbe(p.pool))
-		}
-	}
-	return s.addJitter(r, longest)
+	return s.addJitter(r, max(minRetryAfter, s.neededAvailableIn(r)))
 }
 
 // addJitter returns a time between d and 1.5 d, so that callers refused together do
@@ -213,7 +195,8 @@
 		expectedWork: s.usualWork(r.route),
 	}
 	s.attempts[a.id] = a
-	if p.sends == 0 {
+	if !p.counted {
+		p.counted = true
 		p.pool.budget.recordInitial(s.options.Budget, s.now)
 	}
 	p.sends++
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -80,11 +80,24 @@
 // Forget closes the connections to a target that has been removed.
 type Forget struct{ Target api.TargetID }
 
+// HoldBack keeps the attempts that wait for a connection to a target from being sent
+// before Until.
+type HoldBack struct {
+	Target api.TargetID
+	Until  time.Time
+	// For is how long the target asked to get no requests.
+	For time.Duration
+}
+
+// ReportLeaving reports that a target has said in a reply that it leaves.
+type ReportLeaving struct{ Announcement api.Announcement }
+
 // Probe sends a health check to a target.
 type Probe struct {
-	Target  api.TargetID
-	Address string
-	Path    string
+	Target      api.TargetID
+	Incarnation uint64
+	Address     string
+	Path        string
 }
 
 // ReachabilityChanged reports that a target has become unreachable or reachable again
@@ -189,4 +202,6 @@
 func (Connect) effect()             {}
 func (Forget) effect()              {}
 func (Probe) effect()               {}
+func (HoldBack) effect()            {}
+func (ReportLeaving) effect()       {}
 func (ReachabilityChanged) effect() {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -62,6 +62,9 @@
 	OutcomeWrongTarget
 	// OutcomeNotSent means that certainly no byte of the request was sent.
 	OutcomeNotSent
+	// OutcomeHeldBack is OutcomeNotSent because the target has meanwhile asked this
+	// node for a pause.
+	OutcomeHeldBack
 	// OutcomeNoRoom is OutcomeNotSent because the target reset the new connection,
 	// as one at its connection limit does.
 	OutcomeNoRoom
@@ -77,7 +80,7 @@
 // String returns the outcome as it appears in logs and metrics.
 func (o Outcome) String() string {
 	return [...]string{
-		"success", "failure", "not_run", "wrong_target", "not_sent", "no_room", "broken", "timeout", "cancelled",
+		"success", "failure", "not_run", "wrong_target", "not_sent", "held_back", "no_room", "broken", "timeout", "cancelled",
 	}[o]
 }
 
@@ -88,7 +91,7 @@
 
 // Unsent reports whether certainly no byte of the request was sent.
 func (o Outcome) Unsent() bool {
-	return o == OutcomeNotSent || o == OutcomeNoRoom
+	return o == OutcomeNotSent || o == OutcomeHeldBack || o == OutcomeNoRoom
 }
 
 // LoadReport is the load that a target reports with a reply. Known is false if the
@@ -103,14 +106,24 @@
 	Slowdown float64
 }
 
+// Demand is what a target demands of this node in a reply, whatever its status.
+type Demand struct {
+	// Leaving reports that the target leaves and is to get no new requests.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests from this node, 0 if it has
+	// not refused one with such a time.
+	RetryAfter time.Duration
+}
+
 // AttemptEnded is the end of an attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
 	Outcome Outcome
 	Status  int
 	// Cause describes the error for the log, empty after a valid reply.
-	Cause string
-	Load  LoadReport
+	Cause  string
+	Load   LoadReport
+	Demand Demand
 	// ResetAfterDial reports that the target reset a newly opened connection, as one
 	// at its connection limit does.
 	ResetAfterDial bool
@@ -120,8 +133,11 @@
 
 // ProbeEnded is the result of a health check.
 type ProbeEnded struct {
-	Target  api.TargetID
-	Healthy bool
+	Target api.TargetID
+	// Incarnation is that of the Probe effect.
+	Incarnation uint64
+	Healthy     bool
+	Demand      Demand
 }
 
 // ShuttingDown answers all pending requests because the process is about to exit.
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -336,7 +336,7 @@
 	h.advance(minProbeInterval)
 	assert.Equal(t, len(find[Probe](h.apply(Tick{}))), 1)
 	assert.Equal(t, len(find[Probe](h.apply(Tick{}))), 0, "health checks of a target must not overlap")
-	h.apply(ProbeEnded{Target: "t1", Healthy: true})
+	h.apply(ProbeEnded{Target: "t1", Incarnation: 1, Healthy: true})
 	assert.Equal(t, len(h.sends(h.arrive("h"))), 1)
 }
 
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -39,16 +39,6 @@
 	p.targets = slices.DeleteFunc(p.targets, func(other *target) bool { return other == t })
 }
 
-// usable reports whether some target accepts work and is reachable.
-func (p *pool) usable() bool {
-	for _, t := range p.targets {
-		if t.acceptsWork() && !t.unreachable {
-			return true
-		}
-	}
-	return false
-}
-
 // hasTargetIn reports whether a data centre has a target that accepts work.
 func (p *pool) hasTargetIn(dataCentre string) bool {
 	for _, t := range p.targets {
@@ -63,8 +53,9 @@
 // whether there is one.
 func (p *pool) unblocksAt(now time.Time) (until time.Time, blocked bool) {
 	for _, t := range p.targets {
-		if t.acceptsWork() && !t.unreachable && now.Before(t.blockedUntil) && (!blocked || t.blockedUntil.Before(until)) {
-			until, blocked = t.blockedUntil, true
+		held := t.heldUntil()
+		if t.acceptsWork() && !t.unreachable && now.Before(held) && (!blocked || held.Before(until)) {
+			until, blocked = held, true
 		}
 	}
 	return until, blocked
@@ -105,8 +96,8 @@
 }
 
 // choose returns the target with room that is expected to answer a part first, nil if
-// there is none, and whether some target without room may have room later. Unreachable
-// targets are left out until they are reachable again.
+// there is none, and whether some target without room may have room early enough.
+// Unreachable targets are left out until they are reachable again.
 func (s *State) choose(p *part) (best *target, wait bool) {
 	work := s.usualWork(p.request.route)
 	var bestScore time.Duration
@@ -118,7 +109,7 @@
 			continue
 		}
 		if !t.hasRoom(s.now) {
-			wait = true
+			wait = wait || s.inTime(p.request, t)
 			continue
 		}
 		score := s.score(t, work)
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -46,6 +46,7 @@
 	switch ev.Outcome {
 	case OutcomeSuccess:
 		s.markReachable(t)
+		t.recovering = false
 		t.markOvertaken(a)
 		t.observeReply(s.now, work, a.expectedWork)
 		t.observeError(s.now, false)
@@ -56,10 +57,14 @@
 		} else {
 			t.observeError(s.now, true)
 		}
+		t.recovering = t.recovering && ev.Outcome == OutcomeBroken
 	case OutcomeNotRun:
-		// The target is reachable, but does not run requests at the moment.
+		// The target is reachable, but does not run requests at the moment. One that
+		// says for how long is believed, and is not taken to be failing.
 		s.markReachable(t)
-		t.observeError(s.now, true)
+		if ev.Demand.RetryAfter <= 0 {
+			t.observeError(s.now, true)
+		}
 	case OutcomeWrongTarget:
 		// Another target has taken over the address. Two failures make this one
 		// unreachable at once.
@@ -76,6 +81,7 @@
 		}
 	}
 	t.observeLoad(s.now, ev.Load)
+	s.applyDemand(t, ev.Demand)
 	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure || ev.Outcome == OutcomeNotRun {
 		t.lastReply = s.now
 		t.blockedUntil = time.Time{} // the connection of this attempt is idle now
@@ -107,7 +113,7 @@
 	if ev.Outcome.Unsent() {
 		p.sends--
 	}
-	if ev.Outcome == OutcomeNoRoom {
+	if ev.Outcome == OutcomeNoRoom || ev.Outcome == OutcomeHeldBack {
 		p.allowTarget(a.target)
 	}
 	p.request.mayHaveRun = p.request.mayHaveRun || ev.Outcome.MayHaveRun()
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -111,8 +111,10 @@
 	// runs counts the attempts that ran, may have run or are in flight; sends also
 	// counts those that their target did not run. Attempts that were never sent
 	// count in neither.
-	runs        int
-	sends       int
+	runs  int
+	sends int
+	// counted reports that the pool's budget has counted the part as a first request.
+	counted     bool
 	outstanding []*attempt
 	answer      *attempt
 	// failure is a target's reply with an error status, relayed to the caller if no
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -84,6 +84,14 @@
 	// blockedUntil is the time until which nothing is sent to the target because it is
 	// at its connection limit and this node had no connection to it.
 	blockedUntil time.Time
+	// leaving is set once the target has said in a reply that it leaves. Nothing that
+	// is announced about this incarnation resets it.
+	leaving bool
+	// retryAt is the time until which nothing is sent to the target because it has
+	// refused a request with a retry time.
+	retryAt time.Time
+	// recovering is set with retryAt, until the target runs a request again.
+	recovering bool
 	// lastReply is when the target last answered a request.
 	lastReply time.Time
 
@@ -105,16 +113,26 @@
 
 func (t *target) id() api.TargetID { return t.announcement.Target }
 
-func (t *target) acceptsWork() bool { return t.announcement.State.AcceptsWork() }
+func (t *target) acceptsWork() bool { return !t.leaving && t.announcement.State.AcceptsWork() }
+
+// heldUntil returns the time until which nothing may be sent to the target; it may be
+// in the past.
+func (t *target) heldUntil() time.Time {
+	if t.retryAt.After(t.blockedUntil) {
+		return t.retryAt
+	}
+	return t.blockedUntil
+}
 
 // hasRoom reports whether one more request may be sent to the target now. One that is
 // full or at its connection limit gets one request of this node at a time, since a
-// connection opened before stays usable.
+// connection opened before stays usable. So does one whose retry time has just passed,
+// as all parts together could overload it again.
 func (t *target) hasRoom(now time.Time) bool {
-	if now.Before(t.blockedUntil) {
+	if now.Before(t.heldUntil()) {
 		return false
 	}
-	if now.Before(t.atLimitUntil) || t.load(now) >= float64(maxLoadPerSlot*t.announcement.Slots) {
+	if t.recovering || now.Before(t.atLimitUntil) || t.load(now) >= float64(maxLoadPerSlot*t.announcement.Slots) {
 		return len(t.outstanding) == 0
 	}
 	return len(t.outstanding) < t.share
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"time"
-
 	"wigeonbay/internal/api"
 )
 
@@ -85,6 +83,7 @@
 // has changed is replaced by a new one.
 func (s *State) updateTarget(a api.Announcement) {
 	t := s.targets[a.Target]
+	leaving := t != nil && t.leaving && t.announcement.Incarnation == a.Incarnation
 	if t != nil && (a.State == api.TargetGone || t.announcement.Incarnation != a.Incarnation ||
 		t.announcement.Address != a.Address || t.announcement.Service != a.Service) {
 		s.removeTarget(t)
@@ -95,6 +94,7 @@
 	}
 	if t == nil {
 		t = newTarget(a, s.now)
+		t.leaving = leaving
 		t.local = a.DataCentre == s.options.DataCentre
 		s.targets[a.Target] = t
 		s.poolNamed(a.Service).add(t)
@@ -167,12 +167,12 @@
 // sendDueProbes sends the health checks of unreachable targets that are due.
 func (s *State) sendDueProbes() {
 	for _, t := range s.targets {
-		if !t.unreachable || t.probing || !t.acceptsWork() || s.now.Before(t.nextProbe) {
+		if !t.unreachable || t.probing || !t.acceptsWork() || s.now.Before(t.nextProbe) || s.now.Before(t.retryAt) {
 			continue
 		}
 		t.probing = true
 		s.counters.Probes++
-		s.emit(Probe{Target: t.id(), Address: t.announcement.Address, Path: t.pool.config.HealthPath})
+		s.emit(Probe{Target: t.id(), Incarnation: t.announcement.Incarnation, Address: t.announcement.Address, Path: t.pool.config.HealthPath})
 	}
 }
 
@@ -180,10 +180,11 @@
 // next health check.
 func (s *State) handleProbeEnd(ev ProbeEnded) {
 	t := s.targets[ev.Target]
-	if t == nil {
+	if t == nil || t.announcement.Incarnation != ev.Incarnation {
 		return
 	}
 	t.probing = false
+	s.applyDemand(t, ev.Demand)
 	if !t.unreachable {
 		return
 	}
@@ -222,34 +223,5 @@
 		Target: t.id(), Pool: t.pool.name, NewState: TargetUnreachable,
 		Failures: t.failures, Slowdown: t.expectedSlowdown(s.now),
 	})
-	s.dropWaitingIfUnusable(t.pool)
-}
-
-// dropWaitingIfUnusable marks the queued parts of a pool missing if the pool has no
-// usable target left.
-func (s *State) dropWaitingIfUnusable(p *pool) {
-	if p.usable() {
-		return
-	}
-	waiting := p.waiting
-	p.waiting = nil
-	for _, w := range waiting {
-		w.phase = partIdle
-		if !w.request.done {
-			s.markMissing(w)
-		}
-	}
-}
-
-// untilNextProbe returns the time until the next health check of a pool's unreachable
-// targets, between minProbeInterval and maxProbeInterval. It is maxProbeInterval if the
-// pool has none.
-func (s *State) untilNextProbe(p *pool) time.Duration {
-	soonest := maxProbeInterval
-	for _, t := range p.targets {
-		if t.acceptsWork() && t.unreachable {
-			soonest = min(soonest, max(minProbeInterval, t.nextProbe.Sub(s.now)))
-		}
-	}
-	return soonest
+	s.dropHopelessWaiting(t.pool)
 }
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -46,7 +46,10 @@
 		if e.VerifyConnection {
 			verification = pool.VerifyOpen
 		}
-		reply, err := n.pool.Send(ctx, e.Target, p.incoming.Method, request, verification)
+		reply, err := n.pool.Send(ctx, e.Target, pool.Request{
+			Method: p.incoming.Method, Bytes: request, Verification: verification,
+			IsReply: func(header http.Header) bool { return n.namesRequest(p, header) },
+		})
 		ended := n.classify(p, reply, err)
 		ended.Attempt = e.Attempt
 		n.mu.Lock()
@@ -115,9 +118,17 @@
 	return false
 }
 
+// namesRequest reports whether a reply's header names this request or none.
+func (n *Node) namesRequest(p *pendingRequest, header http.Header) bool {
+	echoed := header.Get(n.cfg.Headers.RequestID)
+	return echoed == "" || echoed == p.id
+}
+
 // classify returns the outcome of an attempt. Only a complete, signed reply with this
 // request's ID is a success or failure. A delivered request is known not to have run
-// only if the target says so, by the NotRun header or status 421.
+// only if the target says so, by the NotRun header or status 421. On a connection that
+// has carried other requests a refusal without an ID proves nothing: it may be a second
+// copy of an earlier one.
 func (n *Node) classify(p *pendingRequest, reply pool.Reply, err error) forward.AttemptEnded {
 	if err != nil {
 		return classifyError(err)
@@ -130,9 +141,14 @@
 	}
 	echoedID := reply.Header.Get(names.RequestID)
 	_, notRun := reply.Header[http.CanonicalHeaderKey(names.NotRun)]
+	if echoedID == p.id {
+		ended.Demand = n.demandOf(p.id, reply)
+	}
 	switch {
-	case echoedID != "" && echoedID != p.id:
+	case !n.namesRequest(p, reply.Header):
 		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply to request "+echoedID
+	case echoedID == "" && reply.Dialed == 0:
+		ended.Outcome, ended.Cause = forward.OutcomeBroken, "reply has no request ID"
 	case reply.Status == http.StatusMisdirectedRequest:
 		ended.Outcome = forward.OutcomeWrongTarget
 	case notRun:
@@ -162,7 +178,10 @@
 		ended.ResetAfterDial = poolErr.Dialed > 0 && errors.Is(err, syscall.ECONNRESET)
 		if poolErr.NotSent {
 			ended.Outcome = forward.OutcomeNotSent
-			if !poolErr.Reused && errors.Is(err, syscall.ECONNRESET) {
+			switch {
+			case errors.Is(err, pool.ErrHeldBack):
+				ended.Outcome = forward.OutcomeHeldBack
+			case !poolErr.Reused && errors.Is(err, syscall.ECONNRESET):
 				ended.Outcome = forward.OutcomeNoRoom
 			}
 			return ended
@@ -253,8 +272,12 @@
 		ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 		defer cancel()
 		request := "GET " + e.Path + " HTTP/1.1\r\nHost: " + e.Address + "\r\nConnection: close\r\n\r\n"
-		status, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
-		healthy := err == nil && status == http.StatusOK
-		n.step(forward.ProbeEnded{Target: e.Target, Healthy: healthy})
+		reply, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
+		ended := forward.ProbeEnded{Target: e.Target, Incarnation: e.Incarnation}
+		if err == nil {
+			ended.Healthy = reply.Status == http.StatusOK
+			ended.Demand = n.demandOf("", reply)
+		}
+		n.step(ended)
 	}()
 }
--- /dev/null
+++ b/internal/entry/forwarder/demand.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/entry/pool"
+	"wigeonbay/internal/telemetry"
+)
+
+// maxRetryAfter limits the time for which a target is held back.
+const maxRetryAfter = time.Hour
+
+// demandOf returns what a target demands in a reply. request is the ID of the caller's
+// request for the log, empty for a health check.
+func (n *Node) demandOf(request string, reply pool.Reply) forward.Demand {
+	names := n.cfg.Headers
+	demand := forward.Demand{Leaving: strings.TrimSpace(reply.Header.Get(names.Leaving)) == "1"}
+	value := reply.Header.Get(names.RetryAfter)
+	refused := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
+	if value == "" || !refused {
+		return demand
+	}
+	var ok bool
+	if demand.RetryAfter, ok = parseRetryAfter(value); !ok {
+		n.logMalformedHeader(request, names.RetryAfter, value)
+	}
+	return demand
+}
+
+// parseRetryAfter parses a number of seconds, which may have a fraction. ok is false if
+// the value is not a positive number or 0; dates are not supported.
+func parseRetryAfter(value string) (after time.Duration, ok bool) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil && !math.IsInf(seconds, 1) || math.IsNaN(seconds) || seconds < 0 {
+		return 0, false
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), true
+}
+
+// holdBack keeps what waits for a connection to a target from being sent.
+func (n *Node) holdBack(e forward.HoldBack) {
+	n.pool.HoldBack(e.Target, e.Until)
+	telemetry.ForwardTargetHeldBack.Log(n.logger, zap.String("target", string(e.Target)), zap.Duration("for", e.For))
+}
+
+// reportLeaving records that a target leaves as an announcement that no other one of the
+// same incarnation supersedes, for this node and for the control processes.
+func (n *Node) reportLeaving(e forward.ReportLeaving) {
+	leaving := e.Announcement
+	leaving.State, leaving.Sequence = api.TargetDraining, api.FinalSequence
+	telemetry.ForwardTargetLeaving.Log(n.logger,
+		zap.String("target", string(leaving.Target)),
+		zap.String("service", leaving.Service),
+		zap.Uint64("incarnation", leaving.Incarnation))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mergeAnnouncement(leaving, "reply", 0)
+	n.withdrawals.Add(leaving)
+}
+
+// withdrawalsSince returns the withdrawals to report to a control process: those added
+// after a number, or with restarted set all that this node knows. It also returns the
+// number of the last one.
+func (n *Node) withdrawalsSince(number uint64, restarted bool) ([]api.Announcement, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	since, last := n.withdrawals.Since(number)
+	if restarted {
+		since = n.targets.Withdrawn(maxReportedWithdrawals)
+	}
+	return since, last
+}
+
+// maxReportedWithdrawals limits the records in one report. A record has about 200 bytes.
+const maxReportedWithdrawals = 256
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -53,6 +53,10 @@
 		n.pool.Forget(e.Target)
 	case forward.Probe:
 		n.probe(e)
+	case forward.HoldBack:
+		n.holdBack(e)
+	case forward.ReportLeaving:
+		go n.reportLeaving(e) // it applies an event, which needs the lock held here
 	case forward.ReachabilityChanged:
 		n.logReachability(e)
 	default:
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -26,7 +26,8 @@
 
 var headers = api.ForwardHeaders{
 	RequestID: "Id", Deadline: "Left", Signature: "Signed", ExpectTarget: "Only",
-	Load: "Load", NotRun: "Not-Run", PartSignatures: "Parts", MissingParts: "Missing",
+	Load: "Load", NotRun: "Not-Run", Leaving: "Leaving", RetryAfter: "Retry-After",
+	PartSignatures: "Parts", MissingParts: "Missing",
 }
 
 func testNode() *Node { return &Node{cfg: Config{Headers: headers}} }
@@ -53,8 +54,10 @@
 		{"error status of the target", 500, good, forward.OutcomeFailure},
 		{"client error status of the target", 404, good, forward.OutcomeFailure},
 		{"not run", 503, withHeader("Not-Run", "1"), forward.OutcomeNotRun},
-		{"not run, without signature", 429, http.Header{"Not-Run": {""}}, forward.OutcomeNotRun},
-		{"misdirected to another target", 421, http.Header{}, forward.OutcomeWrongTarget},
+		{"not run, without signature", 429, http.Header{"Id": {"r1"}, "Not-Run": {""}}, forward.OutcomeNotRun},
+		{"misdirected to another target", 421, http.Header{"Id": {"r1"}}, forward.OutcomeWrongTarget},
+		{"not run, without request ID", 429, http.Header{"Not-Run": {""}}, forward.OutcomeBroken},
+		{"misdirected, without request ID", 421, http.Header{}, forward.OutcomeBroken},
 		{"reply to another request", 200, withHeader("Id", "r0"), forward.OutcomeBroken},
 		{"refusal of another request", 503, http.Header{"Id": {"r0"}, "Not-Run": {"1"}}, forward.OutcomeBroken},
 		{"no request ID", 200, withHeader("Id", ""), forward.OutcomeBroken},
@@ -71,6 +74,56 @@
 	}
 }
 
+// TestRefusalWithoutIDOnNewConnection checks that a refusal without an ID is believed only
+// as the first reply on a connection, where it can't be a copy of an earlier one.
+//
+// fault: duplicate-reply x forward
+func TestRefusalWithoutIDOnNewConnection(t *testing.T) {
+	for status, want := range map[int]forward.Outcome{503: forward.OutcomeNotRun, 421: forward.OutcomeWrongTarget} {
+		reply := pool.Reply{Status: status, Header: http.Header{"Not-Run": {"1"}}}
+		p := &pendingRequest{id: "r1"}
+		assert.Equal(t, testNode().classify(p, reply, nil).Outcome, forward.OutcomeBroken)
+		reply.Dialed = time.Millisecond
+		assert.Equal(t, testNode().classify(p, reply, nil).Outcome, want)
+	}
+}
+
+// TestTargetDemands reads what targets demand of a node from their replies.
+func TestTargetDemands(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		header http.Header
+		want   forward.Demand
+		lines  int
+	}{
+		{"none", 200, http.Header{}, forward.Demand{}, 0},
+		{"leaving, with a success", 200, http.Header{"Leaving": {"1"}}, forward.Demand{Leaving: true}, 0},
+		{"leaving, with a failure", 500, http.Header{"Leaving": {" 1"}}, forward.Demand{Leaving: true}, 0},
+		{"not leaving", 200, http.Header{"Leaving": {"0"}}, forward.Demand{}, 0},
+		{"whole seconds", 503, http.Header{"Retry-After": {"2"}}, forward.Demand{RetryAfter: 2 * time.Second}, 0},
+		{"a fraction", 503, http.Header{"Retry-After": {"0.25"}}, forward.Demand{RetryAfter: 250 * time.Millisecond}, 0},
+		{"too many requests", 429, http.Header{"Retry-After": {"1"}}, forward.Demand{RetryAfter: time.Second}, 0},
+		{"with a success", 200, http.Header{"Retry-After": {"1"}}, forward.Demand{}, 0},
+		{"zero", 503, http.Header{"Retry-After": {"0"}}, forward.Demand{}, 0},
+		{"negative", 503, http.Header{"Retry-After": {"-3"}}, forward.Demand{}, 1},
+		{"huge", 503, http.Header{"Retry-After": {"1e300"}}, forward.Demand{RetryAfter: maxRetryAfter}, 0},
+		{"out of range", 503, http.Header{"Retry-After": {"1e999"}}, forward.Demand{RetryAfter: maxRetryAfter}, 0},
+		{"not a number", 503, http.Header{"Retry-After": {"soon"}}, forward.Demand{}, 1},
+		{"NaN", 503, http.Header{"Retry-After": {"NaN"}}, forward.Demand{}, 1},
+		{"a date", 503, http.Header{"Retry-After": {"Fri, 04 Dec 2026 09:28:19 GMT"}}, forward.Demand{}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			core, logs := observer.New(zap.InfoLevel)
+			n := testNode()
+			n.logger = zap.New(core)
+			assert.Equal(t, n.demandOf("r1", pool.Reply{Status: tc.status, Header: tc.header}), tc.want)
+			assert.Equal(t, logs.Len(), tc.lines)
+		})
+	}
+}
+
 func TestErrorsAreClassified(t *testing.T) {
 	cases := []struct {
 		name string
@@ -81,6 +134,7 @@
 		{"new connection reset before sending", &pool.Error{NotSent: true, Dialed: time.Millisecond, Err: syscall.ECONNRESET}, forward.OutcomeNoRoom},
 		{"connection reset during dial", &pool.Error{NotSent: true, Connect: true, Err: syscall.ECONNRESET}, forward.OutcomeNoRoom},
 		{"reused connection reset before sending", &pool.Error{NotSent: true, Reused: true, Err: syscall.ECONNRESET}, forward.OutcomeNotSent},
+		{"held back before sending", &pool.Error{NotSent: true, Err: pool.ErrHeldBack}, forward.OutcomeHeldBack},
 		{"deadline exceeded before sending", &pool.Error{NotSent: true, Err: context.DeadlineExceeded}, forward.OutcomeNotSent},
 		{"connection reset after sending", &pool.Error{Err: syscall.ECONNRESET}, forward.OutcomeBroken},
 		{"unexpected EOF", &pool.Error{Err: io.ErrUnexpectedEOF}, forward.OutcomeBroken},
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -69,6 +69,7 @@
 	mu           sync.Mutex
 	state        *forward.State
 	targets      *discovery.Targets
+	withdrawals  discovery.Withdrawals
 	requests     map[forward.RequestID]*pendingRequest
 	timers       map[forward.RequestID]*time.Timer
 	replies      map[forward.AttemptID]*pool.Reply
@@ -128,6 +129,7 @@
 		OnReply:      n.handleWatchReply,
 		Lacks:        n.missingTargets,
 		Checksum:     n.recordsChecksum,
+		Withdrawals:  n.withdrawalsSince,
 	})
 	return n
 }
--- a/internal/entry/forwarder/watch.go
+++ b/internal/entry/forwarder/watch.go
@@ -21,18 +21,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range reply.Targets {
-		for _, changed := range n.targets.Merge(a) {
-			n.stepLocked(forward.TargetChanged{Announcement: changed})
-			telemetry.ForwardTargetChanged.Log(n.logger,
-				zap.String("target", string(changed.Target)),
-				zap.String("service", changed.Service),
-				zap.String("data_centre", changed.DataCentre),
-				zap.String("state", string(changed.State)),
-				zap.Uint64("incarnation", changed.Incarnation),
-				zap.Uint64("sequence", changed.Sequence),
-				zap.String("control", address),
-				zap.Uint64("revision", reply.Revision))
-		}
+		n.mergeAnnouncement(a, address, reply.Revision)
 	}
 	n.updateNodeCounts(reply.EntryNodes)
 	if table != nil && table.Version > n.state.TableVersion() {
@@ -49,6 +38,23 @@
 	n.ready.handleReply(time.Now(), reply, n.state.TableVersion())
 }
 
+// mergeAnnouncement applies an announcement from a source, the address of a control
+// process or "reply", and logs the records that it changed.
+func (n *Node) mergeAnnouncement(a api.Announcement, source string, revision uint64) {
+	for _, changed := range n.targets.Merge(a) {
+		n.stepLocked(forward.TargetChanged{Announcement: changed})
+		telemetry.ForwardTargetChanged.Log(n.logger,
+			zap.String("target", string(changed.Target)),
+			zap.String("service", changed.Service),
+			zap.String("data_centre", changed.DataCentre),
+			zap.String("state", string(changed.State)),
+			zap.Uint64("incarnation", changed.Incarnation),
+			zap.Uint64("sequence", changed.Sequence),
+			zap.String("control", source),
+			zap.Uint64("revision", revision))
+	}
+}
+
 // missingTargets returns the targets whose offered records this node does not have.
 func (n *Node) missingTargets(offers []discovery.Offer) []api.TargetID {
 	n.mu.Lock()
--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -8,8 +8,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,8 +17,6 @@
 )
 
 const (
-	// maxReplyBytes bounds the body of a target's reply.
-	maxReplyBytes = 64 << 20
 	// readBufferBytes is large enough for the header and body of a typical reply.
 	readBufferBytes = 2 << 10
 	// maxReplyHeaders bounds the replies read for one request: informational (1xx)
@@ -32,14 +28,13 @@
 	keepAliveMargin = 700 * time.Millisecond
 )
 
-var (
-	errTooLarge = fmt.Errorf("reply is larger than %d bytes", maxReplyBytes)
-)
-
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	netConn net.Conn
 	reader  *bufio.Reader
+	// headLimit is what reader reads from. It bounds the head of a reply.
+	headLimit   *headLimiter
+	replyMemory *memoryBudget
 	// hasReplied reports whether the target has answered on this connection.
 	hasReplied bool
 	lastUsed   time.Time
@@ -52,12 +47,15 @@
 	mustClose bool
 }
 
-func newConn(netConn net.Conn, dialTime time.Duration) *conn {
+func newConn(netConn net.Conn, dialTime time.Duration, replyMemory *memoryBudget) *conn {
+	limiter := &headLimiter{source: netConn}
 	return &conn{
-		netConn:  netConn,
-		reader:   bufio.NewReaderSize(netConn, readBufferBytes),
-		lastUsed: time.Now(),
-		dialTime: dialTime,
+		netConn:     netConn,
+		reader:      bufio.NewReaderSize(limiter, readBufferBytes),
+		headLimit:   limiter,
+		replyMemory: replyMemory,
+		lastUsed:    time.Now(),
+		dialTime:    dialTime,
 	}
 }
 
@@ -94,8 +92,8 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := readBody(res)
+	// Body.Close is not called: it would read all that is left of the body.
+	body, err := readBody(res, c.replyMemory)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -106,8 +104,11 @@
 	return Reply{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
-// readHeader reads the header of the first reply that isn't informational.
+// readHeader reads the header of the first reply that isn't informational. All of them
+// together take at most maxHeadBytes.
 func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.headLimit.start()
+	defer c.headLimit.stop()
 	for range maxReplyHeaders {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -120,19 +121,6 @@
 	return nil, errors.New("too many informational replies")
 }
 
-func readBody(res *http.Response) ([]byte, error) {
-	if n := res.ContentLength; n >= 0 && n <= maxReplyBytes {
-		body := make([]byte, n)
-		_, err := io.ReadFull(res.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // updateReuse takes from a reply whether and for how long the connection can be
 // reused.
 func (c *conn) updateReuse(res *http.Response) {
--- /dev/null
+++ b/internal/entry/pool/limits.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+const (
+	// maxHeadBytes bounds the heads that are read for one request: those of
+	// informational replies and that of the final one.
+	maxHeadBytes = 32 << 10
+	// maxReplyBytes bounds the body of a target's reply.
+	maxReplyBytes = 8 << 20
+	// maxReplyMemory bounds the memory that the bodies being read take together
+	// beyond initialBodyBytes each. Without it a few targets that send without end
+	// would exhaust the memory of a small VM.
+	maxReplyMemory = 16 << 20
+	// initialBodyBytes is the part of each body that takes nothing from
+	// maxReplyMemory, so that usual replies are read while large ones use it up.
+	initialBodyBytes = 16 << 10
+)
+
+var (
+	errHeadTooLarge = fmt.Errorf("head of the reply is larger than %d bytes", maxHeadBytes)
+	errTooLarge     = fmt.Errorf("reply is larger than %d bytes", maxReplyBytes)
+	errNoMemory     = errors.New("too many large replies are being read")
+)
+
+// headLimiter reads from a connection. While a head is read it returns at most
+// maxHeadBytes in total and then an error.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) start() { l.limited, l.left = true, maxHeadBytes }
+
+func (l *headLimiter) stop() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// memoryBudget is a number of bytes that may still be allocated. It is safe for
+// concurrent use.
+type memoryBudget struct{ free atomic.Int64 }
+
+// take reports whether n bytes were left, and takes them if so.
+func (b *memoryBudget) take(n int) bool {
+	if b.free.Add(int64(-n)) >= 0 {
+		return true
+	}
+	b.free.Add(int64(n))
+	return false
+}
+
+func (b *memoryBudget) giveBack(n int) { b.free.Add(int64(n)) }
+
+// readBody reads the body of a reply. Its buffer grows with the bytes that arrive, not
+// with the length that the target states. The memory taken from the budget is given back
+// when the body has been read.
+func readBody(res *http.Response, memory *memoryBudget) ([]byte, error) {
+	if res.ContentLength > maxReplyBytes {
+		return nil, errTooLarge
+	}
+	size := initialBodyBytes
+	if res.ContentLength >= 0 {
+		size = min(size, int(res.ContentLength))
+	}
+	body := make([]byte, 0, size)
+	taken := 0
+	defer func() { memory.giveBack(taken) }()
+	for {
+		if len(body) == cap(body) {
+			if int64(len(body)) == res.ContentLength {
+				return body, nil
+			}
+			grown, err := grow(body, memory)
+			if err != nil {
+				return nil, err
+			}
+			memory.giveBack(taken)
+			body, taken = grown, cap(grown)
+		}
+		n, err := res.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// grow returns a copy of a body with twice the capacity, which is taken from the budget.
+func grow(body []byte, memory *memoryBudget) ([]byte, error) {
+	size := min(2*max(cap(body), initialBodyBytes), maxReplyBytes+1)
+	if len(body) > maxReplyBytes {
+		return nil, errTooLarge
+	}
+	if !memory.take(size) {
+		return nil, errNoMemory
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -35,8 +35,12 @@
 // example by a firewall.
 var tcpKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
 
-// ErrUnknownTarget is returned for a target that isn't configured.
-var ErrUnknownTarget = errors.New("target is not configured")
+var (
+	// ErrUnknownTarget is returned for a target that isn't configured.
+	ErrUnknownTarget = errors.New("target is not configured")
+	// ErrHeldBack is returned for a target that is held back.
+	ErrHeldBack = errors.New("target is held back")
+)
 
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -77,6 +81,8 @@
 // Pool holds the connections to all targets. It is safe for concurrent use.
 type Pool struct {
 	dial Dial
+	// replyMemory is shared by the replies that are being read from all targets.
+	replyMemory memoryBudget
 
 	mu         sync.Mutex
 	targets    map[api.TargetID]*target
@@ -110,6 +116,7 @@
 		}
 	}
 	p := &Pool{dial: dial, targets: map[api.TargetID]*target{}, stopped: make(chan struct{})}
+	p.replyMemory.free.Store(maxReplyMemory)
 	if config.idleChecks {
 		p.background.Add(1)
 		go p.runIdleChecks()
@@ -123,7 +130,7 @@
 	p.mu.Lock()
 	t := p.targets[id]
 	if t == nil {
-		t = newTarget(address, p.dial)
+		t = newTarget(address, p.dial, &p.replyMemory)
 		p.targets[id] = t
 	}
 	p.mu.Unlock()
@@ -210,11 +217,11 @@
 	if err := t.withAddress(ctx, req).Write(&request); err != nil {
 		return Reply{}, &Error{NotSent: true, Err: err}
 	}
-	verification := VerifyNone
+	serialized := Request{Method: req.Method, Bytes: request.Bytes()}
 	if requireReply {
-		verification = VerifyReply
+		serialized.Verification = VerifyReply
 	}
-	return t.send(ctx, req.Method, request.Bytes(), verification)
+	return t.send(ctx, serialized)
 }
 
 // Verification is the check that a connection must pass before a request is sent
@@ -231,27 +238,47 @@
 	VerifyReply
 )
 
-// Send is like Do for a request that is already serialized, including its Host
-// header.
-func (p *Pool) Send(ctx context.Context, id api.TargetID, method string, request []byte, verification Verification) (Reply, error) {
+// Request is a serialized request to a target.
+type Request struct {
+	Method string
+	// Bytes is the whole request, including its Host header.
+	Bytes        []byte
+	Verification Verification
+	// IsReply reports whether a reply with this header answers the request. The
+	// connection is closed after any other reply, since the replies that follow on
+	// it belong to other requests too. Nil accepts every reply.
+	IsReply func(header http.Header) bool
+}
+
+// Send is like Do for a request that is already serialized. A reply that IsReply
+// rejects is returned all the same.
+func (p *Pool) Send(ctx context.Context, id api.TargetID, request Request) (Reply, error) {
 	t := p.find(id)
 	if t == nil {
 		return Reply{}, &Error{NotSent: true, Connect: true, Err: ErrUnknownTarget}
 	}
-	return t.send(ctx, method, request, verification)
+	return t.send(ctx, request)
+}
+
+// HoldBack keeps requests from being sent to a target until the given time. Those that
+// wait for a connection fail with ErrHeldBack once they have it.
+func (p *Pool) HoldBack(id api.TargetID, until time.Time) {
+	if t := p.find(id); t != nil {
+		t.holdBack(until)
+	}
 }
 
 // Probe sends a request over a new connection, which doesn't count towards the
-// budget, and returns the status of the reply.
-func (p *Pool) Probe(ctx context.Context, address, method string, request []byte) (int, error) {
+// budget, and returns the reply.
+func (p *Pool) Probe(ctx context.Context, address, method string, request []byte) (Reply, error) {
 	netConn, err := p.dial(ctx, address)
 	if err != nil {
-		return 0, err
+		return Reply{}, err
 	}
-	c := newConn(netConn, 0)
+	c := newConn(netConn, 0, &p.replyMemory)
 	defer c.close()
 	reply, _, err := c.roundTrip(ctx, method, request)
-	return reply.Status, err
+	return reply, err
 }
 
 // Close removes all targets and stops the background checks. Connections in use
--- a/internal/entry/pool/reply_test.go
+++ b/internal/entry/pool/reply_test.go
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	for range count {
-		reply, err := p.Send(ctx, "a", http.MethodGet, []byte(request), VerifyNone)
+		reply, err := p.Send(ctx, "a", Request{Method: http.MethodGet, Bytes: []byte(request)})
 		replies, errs = append(replies, reply), append(errs, err)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if awaitClose && target.closed.Load() < target.accepted.Load() {
@@ -130,7 +130,7 @@
 	t.Cleanup(p.Close)
 	p.Configure("a", target.address, 4, 0)
 	for range 2 {
-		_, err := p.Send(context.Background(), "a", http.MethodGet, []byte(request), VerifyNone)
+		_, err := p.Send(context.Background(), "a", Request{Method: http.MethodGet, Bytes: []byte(request)})
 		assert.NilError(t, err)
 		time.Sleep(time.Second - keepAliveMargin + 50*time.Millisecond)
 	}
@@ -168,7 +168,7 @@
 	p := New(dial, WithoutIdleChecks())
 	t.Cleanup(p.Close)
 	p.Configure("a", listener.Addr().String(), 4, 0)
-	_, err = p.Send(context.Background(), "a", http.MethodGet, []byte(request), VerifyOpen)
+	_, err = p.Send(context.Background(), "a", Request{Method: http.MethodGet, Bytes: []byte(request), Verification: VerifyOpen})
 	var poolErr *Error
 	assert.Assert(t, errors.As(err, &poolErr))
 	assert.Assert(t, poolErr.NotSent)
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -18,7 +18,8 @@
 
 // target manages the connections to one target.
 type target struct {
-	dial Dial
+	dial        Dial
+	replyMemory *memoryBudget
 
 	mu sync.Mutex
 	// address is the target's host:port.
@@ -32,12 +33,14 @@
 	// idle is sorted by the time of last use, oldest first.
 	idle    []*conn
 	removed bool
+	// heldBackUntil is the time until which no request is sent.
+	heldBackUntil time.Time
 	// changed is closed and replaced whenever a waiting request should try again.
 	changed chan struct{}
 }
 
-func newTarget(address string, dial Dial) *target {
-	return &target{dial: dial, address: address, maxIdle: 1, changed: make(chan struct{})}
+func newTarget(address string, dial Dial, replyMemory *memoryBudget) *target {
+	return &target{dial: dial, replyMemory: replyMemory, address: address, maxIdle: 1, changed: make(chan struct{})}
 }
 
 // configure sets the address and the budget, and closes idle connections in
@@ -119,7 +122,7 @@
 
 // send sends a request over one connection and returns the complete reply. All
 // errors are of type *Error.
-func (t *target) send(ctx context.Context, method string, request []byte, verification Verification) (Reply, error) {
+func (t *target) send(ctx context.Context, request Request) (Reply, error) {
 	c, err := t.acquire(ctx)
 	if err != nil {
 		return Reply{}, &Error{NotSent: true, Connect: true, Err: err}
@@ -129,12 +132,17 @@
 	if !reused {
 		dialed = c.dialTime
 	}
-	if err := t.verify(ctx, c, verification); err != nil {
+	if err := t.verify(ctx, c, request.Verification); err != nil {
 		t.release(c, false)
 		return Reply{}, &Error{NotSent: true, Connect: true, Dialed: dialed, Err: err}
 	}
-	reply, sent, err := c.roundTrip(ctx, method, request)
-	t.release(c, err == nil && !c.mustClose)
+	if t.isHeldBack(time.Now()) {
+		t.release(c, true)
+		return Reply{}, &Error{NotSent: true, Dialed: dialed, Err: ErrHeldBack}
+	}
+	reply, sent, err := c.roundTrip(ctx, request.Method, request.Bytes)
+	own := err == nil && (request.IsReply == nil || request.IsReply(reply.Header))
+	t.release(c, own && !c.mustClose)
 	if err != nil {
 		return Reply{}, &Error{NotSent: !sent, Reused: reused, Dialed: dialed, Err: err}
 	}
@@ -142,6 +150,22 @@
 	return reply, nil
 }
 
+// holdBack keeps requests from being sent until the given time. It never shortens an
+// earlier call's time.
+func (t *target) holdBack(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until.After(t.heldBackUntil) {
+		t.heldBackUntil = until
+	}
+}
+
+func (t *target) isHeldBack(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.heldBackUntil)
+}
+
 // verify checks that the target has accepted a new connection, as far as
 // verification requires it.
 func (t *target) verify(ctx context.Context, c *conn, verification Verification) error {
@@ -186,7 +210,7 @@
 		t.mu.Unlock()
 		return nil, err
 	}
-	return newConn(netConn, time.Since(start)), nil
+	return newConn(netConn, time.Since(start), t.replyMemory), nil
 }
 
 // release returns a connection to the idle ones, or closes it if it isn't
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -30,6 +30,8 @@
 	ForwardRequestEnded            = Event{1310, zapcore.InfoLevel, "request ended", "Summary of a request: its route, the targets that succeeded immediately, every other attempt with its time, outcome and status, and the result. Status 0 means that the caller had disconnected."}
 	ForwardRequestFailedOrDegraded = Event{1312, zapcore.WarnLevel, "request failed or degraded", "Like event 1310 with all attempts in full, for a request that was refused, failed, was answered late or incompletely, or whose caller had disconnected. The field reason tells why it was refused; sends lists the outcome of each attempt."}
 	ForwardRequestRejected         = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large, or the node is shutting down (503)."}
+	ForwardTargetHeldBack          = Event{1314, zapcore.InfoLevel, "target held back", "The target refused a request with a retry time. Until it has passed, the target gets no requests from this node, and then one at a time until it runs one."}
+	ForwardTargetLeaving           = Event{1315, zapcore.InfoLevel, "target says that it leaves", "A reply of the target says that it leaves. It gets no new requests from this node, whatever is announced about this incarnation, and the control processes are told."}
 	ForwardHeaderMalformed         = Event{1313, zapcore.WarnLevel, "malformed header", "A header of a caller or a target could not be parsed and is ignored. Without a deadline the timeout of the route applies; without a load report the node estimates the target's load from its own requests to it."}
 )
 
@@ -39,5 +41,6 @@
 	EntrySilentConnection, EntrySnapshotMismatch, EntryOutcomeNotRecorded,
 	ForwardStarted, ForwardStopped, ForwardDraining, ForwardSettingsReloaded, ForwardTableInForce,
 	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
-	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed,
+	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
+	ForwardTargetLeaving,
 }
