Shutdown answers requests that have begun to arrive

Cause: http.Server.Shutdown closes a kept-alive connection until the server has parsed the whole head of its next request, also if a part or all of it has been read; and one that was just accepted.

Change: package httpdrain. Before Shutdown it ends the reads of connections that have been unused for a time (0.25 s after a response, 1 s after accept) and on which nothing has been read; a read that finds bytes at that moment goes on. Both daemons' caller listeners use it.

Tried first: marking a connection unused when the server waits for the next request. The server reads ahead while it writes a response, so a byte could be lost; and callers that send again at once were cut off between two requests (the load test, under -race). Hence the two quiet times.

--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -18,6 +18,7 @@
 	"wigeonbay/internal/entry"
 	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/entry/route"
+	"wigeonbay/internal/httpdrain"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wait"
@@ -67,7 +68,7 @@
 	stop            context.CancelFunc
 	ctx             context.Context
 
-	callers *http.Server
+	callers *httpdrain.Server
 	rpc     *wire.Server
 	// address is that of the callers' listener.
 	address string
@@ -184,18 +185,14 @@
 	return listener, nil
 }
 
-func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+func (n *Node) serve(listener net.Listener, handler http.Handler) *httpdrain.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	n.background.Add(1)
-	go func() {
-		defer n.background.Done()
-		_ = server.Serve(listener)
-	}()
-	return server
+	return httpdrain.Serve(server, listener, n.background.Done)
 }
 
 func (n *Node) runTicker() {
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -21,6 +21,7 @@
 	"wigeonbay/internal/discovery/watch"
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/pool"
+	"wigeonbay/internal/httpdrain"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wait"
@@ -88,8 +89,8 @@
 	ctx             context.Context
 	stop            context.CancelFunc
 	goroutines      sync.WaitGroup
-	callerServer    *http.Server
-	readinessServer *http.Server
+	callerServer    *httpdrain.Server
+	readinessServer *httpdrain.Server
 }
 
 // New returns a node that is inactive until Start.
@@ -232,15 +233,15 @@
 }
 
 // startServer serves HTTP on a listener in a goroutine that Stop waits for.
-func (n *Node) startServer(listener net.Listener, handler http.Handler) *http.Server {
+func (n *Node) startServer(listener net.Listener, handler http.Handler) *httpdrain.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	n.goroutines.Go(func() { _ = server.Serve(listener) })
-	return server
+	n.goroutines.Add(1)
+	return httpdrain.Serve(server, listener, n.goroutines.Done)
 }
 
 // tick sends Tick events to the state machine and trims the connection pool until the
--- /dev/null
+++ b/internal/httpdrain/httpdrain.go
@@ -0,0 +1,203 @@
+// Package httpdrain stops an HTTP server without cutting off requests that have
+// reached it. http.Server.Shutdown closes a kept-alive connection as long as the server
+// has not parsed the whole head of its next request, although some or all of it may have
+// arrived.
+package httpdrain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// checkInterval is the time between two searches for connections to close.
+	checkInterval = 10 * time.Millisecond
+	// firstRequestTime is how long after it was accepted a connection may wait for its
+	// first request before it counts as unused, and nextRequestTime how long after a
+	// response. A caller that sends sooner learns of the shutdown from its response; one
+	// whose connection is closed may have a request on its way.
+	firstRequestTime = time.Second
+	nextRequestTime  = 250 * time.Millisecond
+)
+
+// Server is an HTTP server whose Shutdown answers each request that has begun to arrive.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+
+	mu          sync.Mutex
+	connections map[*connection]struct{}
+}
+
+// Serve serves HTTP on a listener in a goroutine and calls done when that has ended. The
+// server must not have been used before. Its handler should answer with "Connection: close"
+// once a shutdown is near, so that callers close their connections themselves.
+func Serve(server *http.Server, listener net.Listener, done func()) *Server {
+	s := &Server{http: server, listener: listener, connections: map[*connection]struct{}{}}
+	server.ConnState = s.connectionChanged
+	go func() {
+		defer done()
+		// The error is always that the listener was closed, by Shutdown or Close.
+		_ = server.Serve(trackingListener{Listener: listener, server: s})
+	}()
+	return s
+}
+
+// Shutdown stops accepting connections, waits until each request of which any byte has
+// arrived is answered, and closes the connections as they become unused. It returns the
+// error of ctx if that ends first; the connections left are then closed.
+func (s *Server) Shutdown(ctx context.Context) error {
+	_ = s.listener.Close()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for s.expireUnused() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), s.http.Close())
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+// expireUnused makes the server close its unused connections and returns the number of
+// open ones.
+func (s *Server) expireUnused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.expireIfUnused()
+	}
+	return len(s.connections)
+}
+
+func (s *Server) connectionChanged(netConn net.Conn, state http.ConnState) {
+	c, tracked := netConn.(*connection)
+	if !tracked {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setActive(true)
+	case http.StateIdle:
+		c.setActive(false)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		delete(s.connections, c)
+		s.mu.Unlock()
+	}
+}
+
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	netConn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: netConn, quietSince: time.Now()}
+	l.server.mu.Lock()
+	l.server.connections[c] = struct{}{}
+	l.server.mu.Unlock()
+	return c, nil
+}
+
+// connection is a caller's connection.
+type connection struct {
+	net.Conn
+
+	mu sync.Mutex
+	// quietSince is when the connection was accepted or last written to.
+	quietSince time.Time
+	// active is set from when the server has parsed the head of a request until it
+	// waits for the next one.
+	active bool
+	// readLast is set while bytes were read after the last write. They belong to a
+	// request that is not answered: the server reads ahead while it writes a response.
+	readLast bool
+	used     bool
+	expired  bool
+}
+
+// Read implements net.Conn. Bytes that arrived before an expiry are still read.
+func (c *connection) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		c.mu.Lock()
+		if n > 0 {
+			c.readLast, c.used = true, true
+		}
+		retry := n == 0 && c.expired && errors.Is(err, os.ErrDeadlineExceeded) && c.hasInput()
+		if retry {
+			c.expired = false
+			err = c.Conn.SetReadDeadline(time.Time{})
+		}
+		c.mu.Unlock()
+		if !retry || err != nil {
+			return n, err
+		}
+	}
+}
+
+// expireIfUnused ends the server's read of the next request if nothing of it has been
+// read for long enough, whereupon the server closes the connection.
+func (c *connection) expireIfUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	quietTime := firstRequestTime
+	if c.used {
+		quietTime = nextRequestTime
+	}
+	if c.active || c.readLast || time.Since(c.quietSince) < quietTime {
+		return
+	}
+	c.expired = true
+	// An error means that the connection is closed already.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.readLast, c.quietSince = false, time.Now()
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *connection) setActive(active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = active
+}
+
+// hasInput reports whether there are bytes to read. The end of the stream is none.
+func (c *connection) hasInput() bool {
+	withSyscall, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := withSyscall.SyscallConn()
+	if err != nil {
+		return false
+	}
+	found := false
+	err = rawConn.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, peekErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = peekErr == nil && n > 0
+	})
+	return err == nil && found
+}
--- /dev/null
+++ b/internal/httpdrain/httpdrain_test.go
@@ -0,0 +1,185 @@
+package httpdrain
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// start serves a handler that answers "ok" after a delay, with "Connection: close" once
+// closing is set.
+func start(t *testing.T, delay time.Duration, closing *atomic.Bool) (*Server, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(delay)
+		if closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	done := make(chan struct{})
+	s := Serve(&http.Server{Handler: handler}, listener, func() { close(done) })
+	t.Cleanup(func() {
+		_ = s.Close()
+		<-done
+	})
+	return s, listener.Addr().String()
+}
+
+// caller is a kept-alive connection to a server.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func connect(t *testing.T, address string) *caller {
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+const head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func (c *caller) send(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(t, err)
+}
+
+// readAnswer reads a response and returns whether it announces the end of the connection.
+func (c *caller) readAnswer() (closes bool, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false, err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err == nil && string(body) != "ok" {
+		err = fmt.Errorf("body %q", body)
+	}
+	return response.Close, err
+}
+
+// TestRequestThatHasBegunToArriveIsAnswered sends a part of a request's head on a
+// connection that has carried one before, and the rest during the shutdown.
+//
+// fault: kill x drain
+func TestRequestThatHasBegunToArriveIsAnswered(t *testing.T) {
+	for _, sentBefore := range []int{1, 10, len(head) - 1} {
+		var closing atomic.Bool
+		s, address := start(t, 0, &closing)
+		c := connect(t, address)
+		c.send(t, head)
+		_, err := c.readAnswer()
+		assert.NilError(t, err)
+		c.send(t, head[:sentBefore])
+		time.Sleep(50 * time.Millisecond) // the server reads it
+		closing.Store(true)
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		time.Sleep(100 * time.Millisecond)
+		c.send(t, head[sentBefore:])
+		closes, err := c.readAnswer()
+		assert.NilError(t, err, "%d bytes of the request had been read", sentBefore)
+		assert.Assert(t, closes)
+		assert.NilError(t, <-stopped)
+	}
+}
+
+// TestConnectionThatWasJustAcceptedIsServed opens a connection before the shutdown and
+// sends its first request after it has begun.
+//
+// fault: kill x drain
+func TestConnectionThatWasJustAcceptedIsServed(t *testing.T) {
+	var closing atomic.Bool
+	s, address := start(t, 0, &closing)
+	c := connect(t, address)
+	time.Sleep(20 * time.Millisecond) // the server accepts it
+	closing.Store(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	c.send(t, head)
+	_, err := c.readAnswer()
+	assert.NilError(t, err)
+	assert.NilError(t, <-stopped)
+}
+
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	var closing atomic.Bool
+	s, address := start(t, 0, &closing)
+	idle, unused := connect(t, address), connect(t, address)
+	idle.send(t, head)
+	_, err := idle.readAnswer()
+	assert.NilError(t, err)
+	began := time.Now()
+	assert.NilError(t, s.Shutdown(context.Background()))
+	assert.Assert(t, time.Since(began) < 2*firstRequestTime)
+	for _, c := range []*caller{idle, unused} {
+		_, err = c.readAnswer()
+		assert.Assert(t, err != nil)
+	}
+}
+
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	var closing atomic.Bool
+	s, address := start(t, 0, &closing)
+	c := connect(t, address)
+	c.send(t, head[:5])
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+	_, err := c.readAnswer()
+	assert.Assert(t, err != nil)
+}
+
+// TestShutdownUnderLoadCutsNothingThatWasRead stops a server under load, and counts the
+// requests that were cut off after the server had read them.
+//
+// fault: kill x drain
+func TestShutdownUnderLoadCutsNothingThatWasRead(t *testing.T) {
+	for range 10 {
+		var closing atomic.Bool
+		s, address := start(t, time.Millisecond, &closing)
+		var callers sync.WaitGroup
+		for range 30 {
+			c := connect(t, address)
+			callers.Go(func() { c.repeat(t) })
+		}
+		time.Sleep(20 * time.Millisecond)
+		closing.Store(true)
+		assert.NilError(t, s.Shutdown(context.Background()))
+		callers.Wait()
+	}
+}
+
+// repeat sends requests until a response announces the end of the connection. Callers
+// that are busy all the time learn of it by a response.
+func (c *caller) repeat(t *testing.T) {
+	for {
+		if _, err := io.WriteString(c, head); err != nil {
+			t.Errorf("write: %v", err)
+			return
+		}
+		closes, err := c.readAnswer()
+		if err != nil {
+			t.Errorf("a request got no answer: %v", err)
+			return
+		}
+		if closes {
+			return
+		}
+	}
+}
