Nothing is sent for a request whose deadline has passed

Change: the reducer checks the deadline where it sends queued parts and retries, the pool right before it writes. The target isn't blamed.

Not covered: a VM that is suspended so that its steady clock stands still. The deadline then seems not to have passed; what is sent carries the time left by that clock.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -114,9 +114,19 @@
 	return d + time.Duration(r.seed%uint64(d/2+1))
 }
 
+// expired reports whether it is too late to send anything for a request. After a pause of
+// the process other events may come before the request's timer.
+func (s *State) expired(r *request) bool {
+	return !s.now.Before(r.deadline.Add(-answerMargin))
+}
+
 // dispatch sends a part to the best target, queues it if targets have no room, or
 // marks it missing.
 func (s *State) dispatch(p *part) {
+	if s.expired(p.request) {
+		s.timeOut(p.request)
+		return
+	}
 	t, wait := s.choose(p)
 	switch {
 	case t != nil:
@@ -158,6 +168,10 @@
 	for len(p.waiting) > 0 {
 		at := s.nextWaiting(p)
 		next := p.waiting[at]
+		if s.expired(next.request) {
+			s.timeOut(next.request)
+			continue
+		}
 		t, wait := s.choose(next)
 		if t == nil && wait {
 			return
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -62,8 +62,8 @@
 	OutcomeWrongTarget
 	// OutcomeNotSent means that certainly no byte of the request was sent.
 	OutcomeNotSent
-	// OutcomeHeldBack is OutcomeNotSent because the target has meanwhile asked this
-	// node for a pause.
+	// OutcomeHeldBack is OutcomeNotSent for no fault of the target: it has meanwhile
+	// asked this node for a pause, or the request's time was over.
 	OutcomeHeldBack
 	// OutcomeNoRoom is OutcomeNotSent because the target reset the new connection,
 	// as one at its connection limit does.
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -57,7 +57,7 @@
 		s.cancelLingering(r)
 		return
 	}
-	if !s.now.Before(r.deadline.Add(-answerMargin)) {
+	if s.expired(r) {
 		s.timeOut(r)
 		return
 	}
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -179,7 +179,7 @@
 		if poolErr.NotSent {
 			ended.Outcome = forward.OutcomeNotSent
 			switch {
-			case errors.Is(err, pool.ErrHeldBack):
+			case errors.Is(err, pool.ErrHeldBack), errors.Is(err, pool.ErrExpired):
 				ended.Outcome = forward.OutcomeHeldBack
 			case !poolErr.Reused && errors.Is(err, syscall.ECONNRESET):
 				ended.Outcome = forward.OutcomeNoRoom
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -134,6 +134,7 @@
 		{"new connection reset before sending", &pool.Error{NotSent: true, Dialed: time.Millisecond, Err: syscall.ECONNRESET}, forward.OutcomeNoRoom},
 		{"connection reset during dial", &pool.Error{NotSent: true, Connect: true, Err: syscall.ECONNRESET}, forward.OutcomeNoRoom},
 		{"reused connection reset before sending", &pool.Error{NotSent: true, Reused: true, Err: syscall.ECONNRESET}, forward.OutcomeNotSent},
+		{"expired before sending", &pool.Error{NotSent: true, Err: pool.ErrExpired}, forward.OutcomeHeldBack},
 		{"held back before sending", &pool.Error{NotSent: true, Err: pool.ErrHeldBack}, forward.OutcomeHeldBack},
 		{"deadline exceeded before sending", &pool.Error{NotSent: true, Err: context.DeadlineExceeded}, forward.OutcomeNotSent},
 		{"connection reset after sending", &pool.Error{Err: syscall.ECONNRESET}, forward.OutcomeBroken},
--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -63,6 +63,10 @@
 // whether any byte of the request may have been sent. After an error the
 // connection must not be used again.
 func (c *conn) roundTrip(ctx context.Context, method string, request []byte) (reply Reply, sent bool, err error) {
+	if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
+		// The context's timer may be late after a pause of the process.
+		return Reply{}, false, ErrExpired
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	written, err := c.netConn.Write(request)
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -38,6 +38,9 @@
 var (
 	// ErrUnknownTarget is returned for a target that isn't configured.
 	ErrUnknownTarget = errors.New("target is not configured")
+	// ErrExpired is returned for a request whose context had ended before any of it was
+	// sent on its connection.
+	ErrExpired = errors.New("the request's time was over before it was sent")
 	// ErrHeldBack is returned for a target that is held back.
 	ErrHeldBack = errors.New("target is held back")
 )
--- a/internal/entry/pool/reply_test.go
+++ b/internal/entry/pool/reply_test.go
@@ -187,3 +187,26 @@
 	c.written.Add(int64(len(p)))
 	return c.TCPConn.Write(p)
 }
+
+// TestNothingIsSentAfterTheDeadline sends a request whose deadline has passed, as it may
+// have while the process was paused.
+//
+// fault: stop-continue x forward
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	var served atomic.Int64
+	address := newServer(t, func(http.ResponseWriter, *http.Request) { served.Add(1) })
+	p := New(nil, WithoutIdleChecks())
+	t.Cleanup(p.Close)
+	p.Configure("a", address, 1, 0)
+	_, err := p.Send(context.Background(), "a", Request{Method: http.MethodGet, Bytes: []byte(request)})
+	assert.NilError(t, err)
+	for range 50 {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
+		_, err = p.Send(ctx, "a", Request{Method: http.MethodGet, Bytes: []byte(request)})
+		cancel()
+		var poolErr *Error
+		assert.Assert(t, errors.As(err, &poolErr))
+		assert.Assert(t, poolErr.NotSent)
+	}
+	assert.Equal(t, served.Load(), int64(1))
+}
