Skip second copies of earlier replies in place of giving the request up

Change: on a connection that has carried other requests, up to two replies that name another request are skipped; the connection is closed after the one that names this request. A first reply on a connection is not skipped.

--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -22,6 +22,8 @@
 	// maxReplyHeaders bounds the replies read for one request: informational (1xx)
 	// ones and the final one.
 	maxReplyHeaders = 4
+	// maxForeignReplies bounds the replies to earlier requests that are skipped.
+	maxForeignReplies = 2
 	// keepAliveMargin is how long before the target's keep-alive timeout an idle
 	// connection is no longer used. A request sent closer to the timeout could
 	// arrive after the target has closed the connection.
@@ -62,18 +64,18 @@
 // roundTrip sends a complete request and reads the complete reply. sent reports
 // whether any byte of the request may have been sent. After an error the
 // connection must not be used again.
-func (c *conn) roundTrip(ctx context.Context, method string, request []byte) (reply Reply, sent bool, err error) {
+func (c *conn) roundTrip(ctx context.Context, request Request) (reply Reply, sent bool, err error) {
 	if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
 		// The context's timer may be late after a pause of the process.
 		return Reply{}, false, ErrExpired
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	written, err := c.netConn.Write(request)
+	written, err := c.netConn.Write(request.Bytes)
 	if err != nil {
 		return Reply{}, written > 0, preferContextError(ctx, err)
 	}
-	reply, err = c.readReply(method)
+	reply, err = c.readOwnReply(request)
 	if err != nil {
 		return Reply{}, true, preferContextError(ctx, err)
 	}
@@ -91,6 +93,19 @@
 	return err
 }
 
+// readOwnReply reads the reply to a request and skips up to maxForeignReplies before it.
+func (c *conn) readOwnReply(request Request) (Reply, error) {
+	for skipped := 0; ; skipped++ {
+		reply, err := c.readReply(request.Method)
+		if err != nil || request.IsReply == nil || request.IsReply(reply.Header) {
+			return reply, err
+		}
+		if c.mustClose = true; !c.hasReplied || skipped == maxForeignReplies {
+			return reply, nil
+		}
+	}
+}
+
 func (c *conn) readReply(method string) (Reply, error) {
 	res, err := c.readHeader(method)
 	if err != nil {
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -247,14 +247,15 @@
 	// Bytes is the whole request, including its Host header.
 	Bytes        []byte
 	Verification Verification
-	// IsReply reports whether a reply with this header answers the request. The
-	// connection is closed after any other reply, since the replies that follow on
-	// it belong to other requests too. Nil accepts every reply.
+	// IsReply reports whether a reply with this header answers the request. Nil
+	// accepts every reply. On a connection that has carried other requests, replies
+	// to these are skipped: a target may send one twice. The connection is closed
+	// then, since further ones may follow.
 	IsReply func(header http.Header) bool
 }
 
-// Send is like Do for a request that is already serialized. A reply that IsReply
-// rejects is returned all the same.
+// Send is like Do for a request that is already serialized. If IsReply rejects all of
+// the first replies, the last of these is returned.
 func (p *Pool) Send(ctx context.Context, id api.TargetID, request Request) (Reply, error) {
 	t := p.find(id)
 	if t == nil {
@@ -280,7 +281,7 @@
 	}
 	c := newConn(netConn, 0, &p.replyMemory)
 	defer c.close()
-	reply, _, err := c.roundTrip(ctx, method, request)
+	reply, _, err := c.roundTrip(ctx, Request{Method: method, Bytes: request})
 	return reply, err
 }
 
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -140,9 +140,8 @@
 		t.release(c, true)
 		return Reply{}, &Error{NotSent: true, Dialed: dialed, Err: ErrHeldBack}
 	}
-	reply, sent, err := c.roundTrip(ctx, request.Method, request.Bytes)
-	own := err == nil && (request.IsReply == nil || request.IsReply(reply.Header))
-	t.release(c, own && !c.mustClose)
+	reply, sent, err := c.roundTrip(ctx, request)
+	t.release(c, err == nil && !c.mustClose)
 	if err != nil {
 		return Reply{}, &Error{NotSent: !sent, Reused: reused, Dialed: dialed, Err: err}
 	}
@@ -318,7 +317,7 @@
 	if err := t.withAddress(ctx, req).Write(&request); err != nil {
 		return err
 	}
-	_, _, err = c.roundTrip(ctx, req.Method, request.Bytes())
+	_, _, err = c.roundTrip(ctx, Request{Method: req.Method, Bytes: request.Bytes()})
 	return err
 }
 
