Answer a gather early enough for its caller's network

Partial answers left the node at 87.5 ms; the goal counts from when the caller begins to connect, and with 3 ms one way four such ways (handshake, request, response) are 12 ms.

Change: the kernel's round trip of the caller's connection (TCP_INFO) is part of the arrival: twice for the first request on a connection, once for later ones. The margin before the goal is at least that and 8 ms for merging and writing, at most half of the goal. It changes nothing where the usual margin is larger.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -17,6 +17,9 @@
 	goalMarginDivisor = 8
 	minGoalMargin     = 10 * time.Millisecond
 	maxGoalMargin     = 25 * time.Millisecond
+	// answerTime is reserved beside a caller's network delay, for merging and writing
+	// the answer.
+	answerTime = 8 * time.Millisecond
 	// noTableRetry is the least retry time that a node without a routing table
 	// returns. After a restart of the whole system a node gets its table once the
 	// control group has elected a leader and targets have announced themselves.
@@ -29,7 +32,7 @@
 // handleArrival routes a new request and dispatches its parts, or refuses it.
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
-	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now}
+	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay}
 	if s.routes == nil {
 		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTable, s.addJitter(r, noTableRetry))
 		return
@@ -86,13 +89,15 @@
 	r.pending = len(r.parts)
 	r.due = r.deadline
 	if goal := r.route.config.Goal; goal > 0 {
-		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal)))
+		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal, r.callerDelay)))
 	}
 }
 
-// goalMargin returns the part of a goal that is not available to targets.
-func goalMargin(goal time.Duration) time.Duration {
-	return min(max(goal/goalMarginDivisor, minGoalMargin), maxGoalMargin)
+// goalMargin returns the part of a goal that is not available to targets, for a caller
+// with the given network delay. At most half of the goal is kept back.
+func goalMargin(goal, callerDelay time.Duration) time.Duration {
+	usual := min(max(goal/goalMarginDivisor, minGoalMargin), maxGoalMargin)
+	return min(max(usual, callerDelay+answerTime), max(usual, goal/2))
 }
 
 // neededParts returns how many parts an answer needs to reach the least coverage.
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -149,6 +149,8 @@
 	// was taken to have been refused before.
 	TimeLeft  time.Duration
 	Returning bool
+	// CallerDelay is that of RequestArrived.
+	CallerDelay time.Duration
 	// Queued is the longest time that a part waited in its pool's queue until its turn
 	// came. Parts refused while they were queued are not counted.
 	Queued time.Duration
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -34,6 +34,9 @@
 	Path    string
 	// Deadline is when the caller stops waiting, zero if the request has none.
 	Deadline time.Time
+	// Delay is how much of the caller's time the network between it and this node
+	// takes, there and back, 0 if unknown.
+	Delay time.Duration
 	// Seed is a random number from which retry times get their jitter.
 	Seed uint64
 }
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -252,6 +252,7 @@
 		TableVersion: s.TableVersion(),
 		Took:         s.now.Sub(r.arrived),
 		Returning:    r.returning,
+		CallerDelay:  r.callerDelay,
 		Queued:       r.queueTime,
 		Parts:        len(r.parts),
 		Missed:       len(r.parts) - r.answered(),
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -193,6 +193,32 @@
 	assert.Assert(t, took < 200*time.Millisecond && took > 150*time.Millisecond, "the answer took %v", took)
 }
 
+// TestPartialAnswerReachesTheCallerWithinTheGoal plays a gather with a late part for
+// callers at several distances. The goal counts from when the caller began to connect, so
+// the answer must leave early enough for the network to take its part of the goal.
+func TestPartialAnswerReachesTheCallerWithinTheGoal(t *testing.T) {
+	const goal = 100 * time.Millisecond
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 12 * time.Millisecond, 30 * time.Millisecond} {
+		route := gatherRoute("h", "a", "b", "c")
+		route.Goal = goal
+		h := newHarness(t, newTable(1, route))
+		for _, pool := range []string{"a", "b", "c"} {
+			h.addTarget("t"+pool, pool, home)
+		}
+		h.lastRequest++
+		request := h.lastRequest
+		h.apply(RequestArrived{Request: request, Host: "h", Path: "/a/x", Deadline: h.now.Add(time.Second), Delay: delay})
+		sends := h.sends(request)
+		h.endAttempt(sends[0].Attempt, OutcomeSuccess, 200)
+		h.endAttempt(sends[1].Attempt, OutcomeSuccess, 200)
+		start := h.now
+		for len(find[Merge](h.fireTimer(request))) == 0 {
+		}
+		left := goal - h.now.Sub(start) - delay
+		assert.Assert(t, left >= 8*time.Millisecond, "%v are left for merging and writing at a delay of %v", left, delay)
+	}
+}
+
 func TestGatherBelowCoverageWaitsPastTheGoal(t *testing.T) {
 	h := newHarness(t, newTable(1, gatherRoute("h", "a", "b", "c")))
 	for _, pool := range []string{"a", "b", "c"} {
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -33,7 +33,7 @@
 	if !known {
 		return goal / defaultHedgeDivisor
 	}
-	latest := goal - goalMargin(goal) - defaultRoundTrip - time.Duration(hedgeWorkFactor*float64(s.usualWork(r)))
+	latest := goal - goalMargin(goal, 0) - defaultRoundTrip - time.Duration(hedgeWorkFactor*float64(s.usualWork(r)))
 	return max(minHedgeDelay, min(delay, latest))
 }
 
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -64,6 +64,8 @@
 	seed     uint64
 	arrived  time.Time
 	deadline time.Time
+	// callerDelay is the Delay of RequestArrived.
+	callerDelay time.Duration
 	// due is when the answer must leave to meet the route's goal, or the deadline
 	// if that is earlier or the route has no goal. At due a gather is answered with
 	// the parts it has, if they reach the least coverage.
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -239,6 +239,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 	n.goroutines.Add(1)
 	return httpdrain.Serve(server, listener, n.goroutines.Done)
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -77,6 +77,7 @@
 		Host:     requestHost(r),
 		Path:     r.URL.EscapedPath(),
 		Deadline: n.requestDeadline(r, arrived),
+		Delay:    callerDelay(r.Context()),
 		Seed:     rand.Uint64(),
 	})
 	if !ok {
@@ -242,6 +243,7 @@
 	if status < http.StatusOK || status >= http.StatusBadRequest || s.Missed > 0 || late {
 		telemetry.ForwardRequestFailedOrDegraded.Log(n.logger, append(fields,
 			zap.Duration("time_left", s.TimeLeft),
+			zap.Duration("caller_delay", s.CallerDelay),
 			zap.Bool("returning", s.Returning),
 			zap.Array("sends", sendRecords{s.Sends, everySend}))...)
 		return
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -177,6 +177,15 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn implements syscall.Conn if the underlying connection does.
+func (c *connection) SyscallConn() (syscall.RawConn, error) {
+	withSyscall, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return withSyscall.SyscallConn()
+}
+
 func (c *connection) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,11 +194,7 @@
 
 // hasInput reports whether there are bytes to read. The end of the stream is none.
 func (c *connection) hasInput() bool {
-	withSyscall, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := withSyscall.SyscallConn()
+	rawConn, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
