Nodes without local targets keep a connection to the nearest one

Change: such a node opens and keeps one connection to the target with the shortest measured round trip, as nodes do to targets in their own data centre, if the target's limit has room for all nodes that would (98 of 155 there). Only nodes in data centres without a target of the pool are concerned.

--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -159,7 +159,14 @@
 		return
 	}
 	known, ok := s.roundTrips[t.announcement.DataCentre]
-	if !ok || dialed < known {
-		s.roundTrips[t.announcement.DataCentre] = dialed
+	if ok && dialed >= known {
+		return
+	}
+	s.roundTrips[t.announcement.DataCentre] = dialed
+	if !ok || dialed < known/2 {
+		// Another target may be the nearest one now.
+		for _, other := range s.targets {
+			s.shareConnections(other)
+		}
 	}
 }
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -32,8 +32,9 @@
 	// fewer, the idle connections of all nodes would use up the target's limit.
 	minPerNodeForIdle = 2.0
 	// preopenedConnections is the number of connections opened in advance to each
-	// target in the node's data centre. A request that opens one itself waits for the
-	// round trip and for the slot that accepting the connection takes.
+	// target in the node's data centre, or to the nearest target of a pool without one
+	// there. A request that opens one itself waits for the round trip and for the slot
+	// that accepting the connection takes.
 	preopenedConnections = 1
 )
 
@@ -140,15 +141,51 @@
 		least = minLocalShare
 	}
 	t.share = min(max(share, least), t.announcement.Slots+spareConnections)
-	preopen := 0
-	if t.local && t.acceptsWork() && t.pool.routed {
+	preopen, maxIdle := s.idleConnections(t, sharedConnectionFraction*float64(limit))
+	s.emit(Connect{Target: t.id(), Address: t.announcement.Address, Connections: t.share, Preopen: preopen, MaxIdle: maxIdle})
+}
+
+// idleConnections returns how many connections to a target to open in advance, and how
+// many idle ones to keep, if all nodes share the given number.
+func (s *State) idleConnections(t *target, shared float64) (preopen, maxIdle int) {
+	if t.acceptsWork() && t.pool.routed && (t.local || s.isNearest(t) && s.nearestNodes(t) <= shared) {
 		preopen = preopenedConnections
 	}
-	maxIdle := preopen
-	if sharedConnectionFraction*float64(limit) >= minPerNodeForIdle*float64(s.nodeCount()) {
-		maxIdle = max(maxIdle, 1)
+	if shared >= minPerNodeForIdle*float64(s.nodeCount()) {
+		return preopen, max(preopen, 1)
 	}
-	s.emit(Connect{Target: t.id(), Address: t.announcement.Address, Connections: t.share, Preopen: preopen, MaxIdle: maxIdle})
+	return preopen, preopen
+}
+
+// isNearest reports whether a node without a target of the pool in its data centre sends
+// most requests to t: no other one has a shorter round trip. Round trips that have not
+// been measured don't count.
+func (s *State) isNearest(t *target) bool {
+	own, known := s.roundTrips[t.announcement.DataCentre]
+	if !known || t.pool.hasTargetIn(s.options.DataCentre) {
+		return false
+	}
+	for _, other := range t.pool.targets {
+		roundTrip, measured := s.roundTrips[other.announcement.DataCentre]
+		if other != t && other.acceptsWork() && measured && roundTrip < own {
+			return false
+		}
+	}
+	return true
+}
+
+// nearestNodes returns the number of nodes that keep a connection to t: those in its data
+// centre, and its part of those in data centres without a target of its pool.
+func (s *State) nearestNodes(t *target) float64 {
+	unserved, served := 0, 0
+	for dataCentre, nodes := range s.nodes {
+		if t.pool.hasTargetIn(dataCentre) {
+			served++
+		} else {
+			unserved += nodes
+		}
+	}
+	return float64(s.nodes[t.announcement.DataCentre]) + float64(unserved)/float64(max(1, served))
 }
 
 // shareWeight returns the weight of a data centre's nodes for sharing the target's
