Give nodes what a divided retry budget leaves unspent

A node may spend 1.8 extra requests a pool in 10 s, so one, and a hedge had taken it; all 294 nodes together may spend 820, and use a fraction of that.

Change: a node's share of the slack gains half a request, what its share holds on average beyond whole ones, up to 0.9 of an equal part.

--- a/internal/entry/forward/budget.go
+++ b/internal/entry/forward/budget.go
@@ -22,6 +22,12 @@
 	// and a node that restarts loses the count of what it has spent.
 	ratioFraction = 0.85
 	slackFraction = 0.6
+	// unspendable is the part of a request that a node's share holds on average beyond
+	// whole requests. With hundreds of nodes that would be most of the budget.
+	unspendable = 0.5
+	// maxSlackFraction is the fraction of the slack that the nodes may use together
+	// with what none of them can spend alone.
+	maxSlackFraction = 0.9
 	// hedgeReserve is the fraction of the budget that hedges leave for retries.
 	// Without a retry a failed part is lost; without a hedge a slow one is only late.
 	hedgeReserve = 0.3
@@ -75,7 +81,9 @@
 
 // total returns the budget for a window with the given number of first requests.
 func (b *budget) total(rule BudgetRule, initialSends float64, nodes int) float64 {
-	return ratioFraction*rule.Ratio*initialSends + slackFraction*rule.Slack/float64(max(1, nodes))
+	share := rule.Slack / float64(max(1, nodes))
+	slack := min(slackFraction*share+unspendable, maxSlackFraction*share)
+	return ratioFraction*rule.Ratio*initialSends + slack
 }
 
 // spend takes one extra request from the budget and reports whether the budget
