--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -17,9 +17,10 @@
 	goalMarginDivisor = 8
 	minGoalMargin     = 10 * time.Millisecond
 	maxGoalMargin     = 25 * time.Millisecond
-	// answerTime is reserved beside a caller's network delay, for merging and writing
-	// the answer.
-	answerTime = 8 * time.Millisecond
+	// answerTime and partTime for each part are reserved beside a caller's network
+	// delay, for reading the last replies, merging, and writing the answer.
+	answerTime = 5 * time.Millisecond
+	partTime   = 60 * time.Microsecond
 	// noTableRetry is the least retry time that a node without a routing table
 	// returns. After a restart of the whole system a node gets its table once the
 	// control group has elected a leader and targets have announced themselves.
@@ -89,15 +90,15 @@
 	r.pending = len(r.parts)
 	r.due = r.deadline
 	if goal := r.route.config.Goal; goal > 0 {
-		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal, r.callerDelay)))
+		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal, r.callerDelay+answerTime+time.Duration(len(pools))*partTime)))
 	}
 }
 
-// goalMargin returns the part of a goal that is not available to targets, for a caller
-// with the given network delay. At most half of the goal is kept back.
-func goalMargin(goal, callerDelay time.Duration) time.Duration {
+// goalMargin returns the part of a goal that is not available to targets, if at least a
+// given time is needed beside them. At most half of the goal is kept back for that.
+func goalMargin(goal, needed time.Duration) time.Duration {
 	usual := min(max(goal/goalMarginDivisor, minGoalMargin), maxGoalMargin)
-	return min(max(usual, callerDelay+answerTime), max(usual, goal/2))
+	return max(usual, min(needed, goal/2))
 }
 
 // neededParts returns how many parts an answer needs to reach the least coverage.
