Callers that come back after a stop of everything wait for targets

Change: for 3 s after its start a node keeps the request of a caller that seems to come back, where a pool has no target yet, until one is announced or the deadline is near. Callers with the route's whole timeout left are refused at once as before: another node may have targets. A plain request of a returning caller is also kept queued until it can't be answered any more, as gathers were.

Tried first and not kept: taking the route's timeout for the usual time left in all decisions after a start.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -55,6 +55,9 @@
 		r.returning = r.route.stats.isReturning(ev.Deadline.Sub(s.now))
 	}
 	s.makeParts(r)
+	if s.neededAvailableIn(r) > 0 {
+		r.returning = r.returning || s.mayReturnAfterStart(r)
+	}
 	if s.neededAvailableIn(r) > 0 {
 		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTarget, s.noTargetRetryAfter(r))
 		return
--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -39,21 +39,19 @@
 // caller that has not been refused before is better refused at once when its goal can't
 // be met: another node may serve it. One that comes back may have no further attempt.
 func (s *State) lastStart(r *request) time.Time {
-	work := s.usualWork(r.route)
-	switch {
-	case r.returning:
-		return r.deadline.Add(-answerMargin - work)
-	case r.route.config.IsGather():
-		return r.due.Add(-work)
-	default:
-		return s.unsentDeadline(r)
+	if r.route.config.IsGather() && !r.returning {
+		return r.due.Add(-s.usualWork(r.route))
 	}
+	return s.unsentDeadline(r)
 }
 
 // availableIn returns how long it takes until a pool has a target for a request: 0 if it
 // has one now or early enough, else the time until the first retry time or health check.
 // It is maxProbeInterval for a pool without any target.
 func (s *State) availableIn(r *request, p *pool) time.Duration {
+	if s.awaitsTargets(r, p) {
+		return 0
+	}
 	soonest, known := maxProbeInterval, false
 	for _, t := range p.targets {
 		if !t.acceptsWork() {
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -154,8 +154,12 @@
 	s.fail(r, ReasonOverload)
 }
 
-// unsentDeadline returns when a plain request that is still queued is refused.
+// unsentDeadline returns when a plain request that is still queued is refused. A returning
+// caller may have no further attempt, so its request is kept as long as it can be answered.
 func (s *State) unsentDeadline(r *request) time.Time {
+	if r.returning {
+		return r.deadline.Add(-answerMargin - s.usualWork(r.route))
+	}
 	return r.arrived.Add(max(r.route.config.Goal/maxUnsentDivisor, minRetryAfter))
 }
 
--- a/internal/entry/forward/overload_test.go
+++ b/internal/entry/forward/overload_test.go
@@ -289,6 +289,7 @@
 // logged, shows whether its caller was taken to be returning. That explains a long wait.
 func TestSummaryRecordsReturningCallers(t *testing.T) {
 	h := newHarness(t, newTable(1, plainRoute("h", "nobody", true)))
+	h.advance(announceTime) // before, returning callers wait for targets
 	sendRequest := func(left time.Duration) Summary {
 		h.lastRequest++
 		effects := h.apply(RequestArrived{Request: h.lastRequest, Host: "h", Path: "/a/x", Deadline: h.now.Add(left)})
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -99,6 +99,7 @@
 // there is none, and whether some target without room may have room early enough.
 // Unreachable targets are left out until they are reachable again.
 func (s *State) choose(p *part) (best *target, wait bool) {
+	wait = s.awaitsTargets(p.request, p.pool)
 	work := s.usualWork(p.request.route)
 	var bestScore time.Duration
 	targets := p.pool.targets
