--- a/internal/entry/forward/explain.go
+++ b/internal/entry/forward/explain.go
@@ -11,6 +11,7 @@
 	excludedLeaving     = "leaving"
 	excludedUnreachable = "unreachable"
 	excludedFull        = "no room"
+	excludedHeldBack    = "held back"
 )
 
 // Explain describes how a request would be forwarded at now, and returns false if no
@@ -64,6 +65,8 @@
 		c.Excluded = excludedLeaving
 	case t.unreachable:
 		c.Excluded = excludedUnreachable
+	case s.now.Before(t.retryAt):
+		c.Excluded = excludedHeldBack
 	case !t.hasRoom(s.now):
 		c.Excluded = excludedFull
 	}
--- a/internal/entry/forward/explain_test.go
+++ b/internal/entry/forward/explain_test.go
@@ -14,6 +14,8 @@
 	h.addTarget("near", "p", home)
 	h.addTarget("far", "p", away)
 	h.addTarget("going", "p", home)
+	h.addTarget("paused", "p", home)
+	h.state.applyDemand(h.state.targets["paused"], Demand{RetryAfter: time.Second})
 	h.apply(TargetChanged{Announcement: api.Announcement{
 		Target: "going", Service: "p", DataCentre: home, Incarnation: 1, Sequence: 2,
 		Address: h.state.targets["going"].announcement.Address, State: api.TargetDraining, Slots: 3,
@@ -28,7 +30,7 @@
 	for _, c := range pool.Candidates {
 		excluded[c.Target] = c.Excluded
 	}
-	assert.DeepEqual(t, excluded, map[api.TargetID]string{"near": "", "far": "", "going": excludedLeaving})
+	assert.DeepEqual(t, excluded, map[api.TargetID]string{"near": "", "far": "", "going": excludedLeaving, "paused": excludedHeldBack})
 	assert.Equal(t, h.onlySend(h.arrive("plain")).Target, pool.Chosen)
 	assert.Equal(t, pool.Chosen, api.TargetID("near"))
 
