Small first buffer for replies without a stated length

Since the bound on replies each body without a length began with a buffer of 16 KB, and a gather reads 90 to 135 at once. A full body of 8 MB also failed: its last step asked for one byte more than 16 MB.

Change: 512 bytes at first, doubled; up to 16 KB nothing is taken from the shared memory; the last step goes to the limit at once. TestBodyTakesMemoryAsItGrows failed first on both.

--- a/internal/entry/pool/limits.go
+++ b/internal/entry/pool/limits.go
@@ -15,12 +15,15 @@
 	// maxReplyBytes bounds the body of a target's reply.
 	maxReplyBytes = 8 << 20
 	// maxReplyMemory bounds the memory that the bodies being read take together
-	// beyond initialBodyBytes each. Without it a few targets that send without end
-	// would exhaust the memory of a small VM.
+	// beyond freeBodyBytes each. Without it a few targets that send without end would
+	// exhaust the memory of a small VM.
 	maxReplyMemory = 16 << 20
-	// initialBodyBytes is the part of each body that takes nothing from
+	// freeBodyBytes is the buffer up to which a body takes nothing from
 	// maxReplyMemory, so that usual replies are read while large ones use it up.
-	initialBodyBytes = 16 << 10
+	freeBodyBytes = 16 << 10
+	// initialBodyBytes is the first buffer of a body whose length isn't stated. Gathers
+	// read many small replies at once.
+	initialBodyBytes = 512
 )
 
 var (
@@ -76,9 +79,9 @@
 	if res.ContentLength > maxReplyBytes {
 		return nil, errTooLarge
 	}
-	size := initialBodyBytes
+	size, limit := int64(initialBodyBytes), maxReplyBytes+1
 	if res.ContentLength >= 0 {
-		size = min(size, int(res.ContentLength))
+		size, limit = min(res.ContentLength, freeBodyBytes), int(res.ContentLength)
 	}
 	body := make([]byte, 0, size)
 	taken := 0
@@ -88,12 +91,12 @@
 			if int64(len(body)) == res.ContentLength {
 				return body, nil
 			}
-			grown, err := grow(body, memory)
+			grown, grownTaken, err := grow(body, limit, memory)
 			if err != nil {
 				return nil, err
 			}
 			memory.giveBack(taken)
-			body, taken = grown, cap(grown)
+			body, taken = grown, grownTaken
 		}
 		n, err := res.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -106,14 +109,21 @@
 	}
 }
 
-// grow returns a copy of a body with twice the capacity, which is taken from the budget.
-func grow(body []byte, memory *memoryBudget) ([]byte, error) {
-	size := min(2*max(cap(body), initialBodyBytes), maxReplyBytes+1)
-	if len(body) > maxReplyBytes {
-		return nil, errTooLarge
+// grow returns a copy of a body with twice the capacity, at most limit, and how much of
+// that it took from the budget.
+func grow(body []byte, limit int, memory *memoryBudget) (grown []byte, taken int, err error) {
+	size := 2 * cap(body)
+	if size+1 >= limit {
+		size = limit // a last step of one byte would need twice the memory
 	}
-	if !memory.take(size) {
-		return nil, errNoMemory
+	switch {
+	case len(body) > maxReplyBytes:
+		return nil, 0, errTooLarge
+	case size <= freeBodyBytes:
+	case memory.take(size):
+		taken = size
+	default:
+		return nil, 0, errNoMemory
 	}
-	return append(make([]byte, 0, size), body...), nil
+	return append(make([]byte, 0, size), body...), taken, nil
 }
