Requests wait for the first routing table after a start

Cause: after a stop of everything nodes refuse with no_routing_table until they have a table, 0.3 to 0.9 s after their start; callers that were cut off come back in that time and have no attempt left.

Change: for 3 s after its start a node keeps requests that come before its table, each for at most half of its time. With the table it decides on them as on others: a caller that comes back waits for targets if need be, one with all of its time is refused or served.

Tests: the order table, then targets; no table at all; shutdown; a caller that leaves.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -30,20 +30,28 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
-// handleArrival routes a new request and dispatches its parts, or refuses it.
+// handleArrival admits a new request, or keeps it until there is a routing table.
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
 	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay}
-	if s.routes == nil {
-		s.refuse(r, http.StatusServiceUnavailable, ReasonNoTable, s.addJitter(r, noTableRetry))
-		return
+	switch {
+	case s.routes != nil:
+		s.admit(r, ev)
+	case s.keepsForTable(ev):
+		s.keepForTable(r, ev)
+	default:
+		s.refuseWithoutTable(r)
 	}
+}
+
+// admit routes a request and dispatches its parts, or refuses it.
+func (s *State) admit(r *request, ev RequestArrived) {
 	r.route = s.routes.find(ev.Host, ev.Path)
 	if r.route == nil {
 		s.refuse(r, http.StatusNotFound, ReasonNoRoute, 0)
 		return
 	}
-	r.deadline = s.now.Add(r.route.config.Timeout)
+	r.deadline = r.arrived.Add(r.route.config.Timeout)
 	if !ev.Deadline.IsZero() && ev.Deadline.Before(r.deadline) {
 		r.deadline = ev.Deadline
 	}
@@ -52,7 +60,7 @@
 		return
 	}
 	if !ev.Deadline.IsZero() {
-		r.returning = r.route.stats.isReturning(ev.Deadline.Sub(s.now))
+		r.returning = r.route.stats.isReturning(ev.Deadline.Sub(r.arrived))
 	}
 	s.makeParts(r)
 	if s.neededAvailableIn(r) > 0 {
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -165,6 +165,10 @@
 // endAllRequests answers all pending requests before the process exits, partially if
 // possible. Closing the connections would give callers no status.
 func (s *State) endAllRequests() {
+	for _, e := range s.early {
+		s.refuseWithoutTable(e.request)
+	}
+	s.early = nil
 	var pending []*request
 	for _, r := range s.requests {
 		if !r.done {
@@ -181,6 +185,11 @@
 
 // callerGone ends a request whose caller has disconnected.
 func (s *State) callerGone(id RequestID) {
+	if r := s.takeEarly(id); r != nil {
+		s.counters.Gone++
+		s.emit(Abandon{Request: id, Summary: s.summary(r)})
+		return
+	}
 	r := s.requests[id]
 	if r == nil || r.done {
 		return
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -49,6 +49,10 @@
 // sends queued parts and hedges late ones. If the request has ended, it cancels the
 // attempts that are left.
 func (s *State) handleTimer(id RequestID) {
+	if r := s.takeEarly(id); r != nil {
+		s.refuseWithoutTable(r)
+		return
+	}
 	r := s.requests[id]
 	if r == nil {
 		return
--- a/internal/entry/forward/startup.go
+++ b/internal/entry/forward/startup.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"net/http"
+	"slices"
+	"time"
+)
 
 // announceTime is how long after its start a node expects that targets are still to be
 // announced to it. After a stop of everything each target does so with its next check-in.
@@ -14,7 +18,7 @@
 // callers begin with the route's timeout.
 func (s *State) mayReturnAfterStart(r *request) bool {
 	usual := returningFraction * float64(r.route.config.Timeout)
-	return s.justStarted() && r.deadline.Sub(s.now) < time.Duration(usual)
+	return s.justStarted() && r.deadline.Sub(r.arrived) < time.Duration(usual)
 }
 
 // awaitsTargets reports whether a request is to wait for the first target of a pool. It
@@ -32,3 +36,49 @@
 	}
 	return true
 }
+
+// earlyRequest is a request that came before the first routing table.
+type earlyRequest struct {
+	request *request
+	event   RequestArrived
+}
+
+// keepsForTable reports whether a request is to wait for the first routing table, which
+// usually comes within a second of the start. Without a table the node doesn't know
+// whether its caller comes back; once there is one, the request is decided on like others.
+func (s *State) keepsForTable(ev RequestArrived) bool {
+	return s.justStarted() && ev.Deadline.Sub(s.now) > 2*answerMargin
+}
+
+// keepForTable keeps a request for at most half of its time, so that its caller can still
+// try another node.
+func (s *State) keepForTable(r *request, ev RequestArrived) {
+	s.early = append(s.early, earlyRequest{r, ev})
+	until := earlier(s.started.Add(announceTime), s.now.Add(ev.Deadline.Sub(s.now)/2))
+	s.emit(SetTimer{Request: r.id, At: until})
+}
+
+// admitEarly admits the requests that have waited for the routing table.
+func (s *State) admitEarly() {
+	early := s.early
+	s.early = nil
+	for _, e := range early {
+		s.admit(e.request, e.event)
+	}
+}
+
+// takeEarly removes a request that waits for the routing table, and returns nil if there
+// is none with the ID.
+func (s *State) takeEarly(id RequestID) *request {
+	at := slices.IndexFunc(s.early, func(e earlyRequest) bool { return e.request.id == id })
+	if at < 0 {
+		return nil
+	}
+	r := s.early[at].request
+	s.early = slices.Delete(s.early, at, at+1)
+	return r
+}
+
+func (s *State) refuseWithoutTable(r *request) {
+	s.refuse(r, http.StatusServiceUnavailable, ReasonNoTable, s.addJitter(r, noTableRetry))
+}
--- a/internal/entry/forward/startup_test.go
+++ b/internal/entry/forward/startup_test.go
@@ -77,3 +77,54 @@
 	assert.Equal(t, refused[0].Status, http.StatusServiceUnavailable)
 	assert.Assert(t, h.now.Before(deadline))
 }
+
+// TestEarlyRequestsWaitForTheFirstTable plays a start in which requests come before the
+// routing table and targets after it. A caller that comes back is answered; one with all
+// of its time left is refused as soon as the node knows that it can't serve it.
+//
+// fault: kill x forward
+func TestEarlyRequestsWaitForTheFirstTable(t *testing.T) {
+	route := plainRoute("h", "a", true)
+	h := newHarness(t, nil)
+	h.apply(Tick{})
+	h.advance(100 * time.Millisecond)
+	returning, first := h.arriveWith(route.Timeout/2), h.arriveWith(route.Timeout)
+	gone := h.arriveWith(route.Timeout / 2)
+	assert.Equal(t, len(find[Refuse](h.allEffects)), 0)
+	assert.Equal(t, h.state.InProgress(), 3)
+	assert.Equal(t, len(find[Abandon](h.apply(CallerGone{Request: gone}))), 1)
+
+	h.advance(300 * time.Millisecond)
+	refused := find[Refuse](h.apply(TableInstalled{Table: newTable(1, route)}))
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Request, first)
+	assert.Equal(t, refused[0].Reason, ReasonNoTarget)
+	h.advance(200 * time.Millisecond)
+	h.addTarget("t1", "a", home)
+	send := h.onlySend(returning)
+	assert.Assert(t, !send.Deadline.After(h.now.Add(route.Timeout/2-500*time.Millisecond)), "the time that it has waited is taken off")
+	assert.Equal(t, len(find[Relay](h.endAttempt(send.Attempt, OutcomeSuccess, 200))), 1)
+	assert.Equal(t, h.state.InProgress(), 0)
+}
+
+// TestEarlyRequestsAreToldInTime checks that requests for which no table comes are refused
+// with half of their time left, at once later on, and at a shutdown.
+func TestEarlyRequestsAreToldInTime(t *testing.T) {
+	h := newHarness(t, nil)
+	h.apply(Tick{})
+	request := h.arriveWith(time.Second)
+	start := h.now
+	refused := find[Refuse](h.fireTimer(request))
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Status, http.StatusServiceUnavailable)
+	assert.Assert(t, refused[0].RetryAfter > 0)
+	assert.Assert(t, h.now.Sub(start) <= 500*time.Millisecond)
+	assert.Equal(t, len(find[Refuse](h.apply(TimerFired{Request: request}))), 0, "once only")
+
+	h.arriveWith(time.Second)
+	assert.Equal(t, len(find[Refuse](h.apply(ShuttingDown{}))), 1)
+	h.advance(announceTime)
+	before := len(find[Refuse](h.allEffects))
+	h.arriveWith(time.Second)
+	assert.Equal(t, len(find[Refuse](h.allEffects)), before+1)
+}
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -26,6 +26,8 @@
 	pools    map[string]*pool
 	targets  map[api.TargetID]*target
 	requests map[RequestID]*request
+	// early holds the requests that wait for the first routing table.
+	early    []earlyRequest
 	attempts map[AttemptID]*attempt
 	// nodes counts the live entry nodes of each data centre, this node included.
 	nodes map[string]int
@@ -179,7 +181,7 @@
 
 // InProgress returns the number of unanswered requests.
 func (s *State) InProgress() int {
-	pending := 0
+	pending := len(s.early)
 	for _, r := range s.requests {
 		if !r.done {
 			pending++
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -58,6 +58,7 @@
 	for _, t := range s.targets {
 		s.shareConnections(t)
 	}
+	s.admitEarly()
 }
 
 // poolNamed returns the pool with the given name and creates it if necessary.
