--- a/internal/entry/forward/budget.go
+++ b/internal/entry/forward/budget.go
@@ -23,7 +23,7 @@
 	ratioFraction = 0.85
 	slackFraction = 0.6
 	// unspendable is the part of a request that a node's share holds on average beyond
-	// whole requests. With hundreds of nodes that would be most of the budget.
+	// whole requests. With hundreds of nodes that adds up to much of the budget.
 	unspendable = 0.5
 	// maxSlackFraction is the fraction of the slack that the nodes may use together
 	// with what none of them can spend alone.
