A submit takes only the reply to its own request

A second copy of an earlier reply on the kept connection, or a late reply to the ping that precedes each submit, became the outcome of this one in the ledger; a copy of a refusal with not_run made it run at another target while the first might run it.

Change: a submit's reply must carry its key. Refusals of targets carry the ID of the request; one that names another is no proof, one without an ID is from a target that doesn't send it yet and counts as before. Otherwise the outcome is unknown, as after any broken reply.

--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -175,6 +175,9 @@
 	// NotRun means that the target certainly did not run the request.
 	NotRun bool   `json:"not_run"`
 	Detail string `json:"detail"`
+	// RequestID is that of the refused request. A refusal that names another request
+	// proves nothing; one without an ID is from a target that doesn't send it yet.
+	RequestID string `json:"request_id,omitempty"`
 }
 
 // TargetErrorCode is the reason of a refusal by a target.
--- a/internal/entry/driver/attempts.go
+++ b/internal/entry/driver/attempts.go
@@ -74,7 +74,7 @@
 	}
 	header := parseTargetHeader(reply.Header)
 	if reply.Status != http.StatusOK {
-		return refusalEvent(id, reply, header), nil
+		return refusalEvent(id, sent.RequestID, reply, header), nil
 	}
 	var body api.ShardReply
 	if json.Unmarshal(reply.Body, &body) != nil || !matchesRequest(body, sent) {
@@ -117,21 +117,22 @@
 			trace.WithAttributes(attribute.String("target", string(e.Target))))
 		defer span.End()
 		reply, err := n.post(ctx, e.Target, "/v1/submit", body, e.Deadline, true)
-		n.step(submitEvent(e.Attempt, reply, err))
+		n.step(submitEvent(e.Attempt, body, reply, err))
 	}()
 }
 
-// submitEvent converts the result of a submit request into an event.
-func submitEvent(id entry.AttemptID, reply pool.Reply, err error) entry.Event {
+// submitEvent converts the result of a submit request into an event. A reply to another
+// request doesn't tell whether this one has run.
+func submitEvent(id entry.AttemptID, sent api.TargetSubmit, reply pool.Reply, err error) entry.Event {
 	if err != nil {
 		return failureEvent(id, err)
 	}
 	header := parseTargetHeader(reply.Header)
 	if reply.Status >= http.StatusInternalServerError || reply.Status == http.StatusConflict {
-		return refusalEvent(id, reply, header)
+		return refusalEvent(id, sent.RequestID, reply, header)
 	}
 	var body api.TargetSubmitReply
-	if json.Unmarshal(reply.Body, &body) != nil {
+	if json.Unmarshal(reply.Body, &body) != nil || body.Key != sent.Key {
 		return entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header}
 	}
 	return entry.SubmitReplied{Attempt: id, Status: reply.Status, Result: body.Result, Header: header}
@@ -176,10 +177,12 @@
 }
 
 // refusalEvent converts an error reply of a target into an event. A reply
-// without an error code counts as invalid.
-func refusalEvent(id entry.AttemptID, reply pool.Reply, header entry.TargetHeader) entry.AttemptFailed {
+// without an error code, or one that names another request, counts as invalid.
+func refusalEvent(id entry.AttemptID, request string, reply pool.Reply, header entry.TargetHeader) entry.AttemptFailed {
 	var body api.TargetError
-	if json.Unmarshal(reply.Body, &body) != nil || body.Code == "" {
+	err := json.Unmarshal(reply.Body, &body)
+	foreign := body.RequestID != "" && body.RequestID != request
+	if err != nil || body.Code == "" || foreign {
 		return entry.AttemptFailed{Attempt: id, Kind: entry.FailureBadReply, Header: header}
 	}
 	return entry.AttemptFailed{
--- a/internal/searcher/admin.go
+++ b/internal/searcher/admin.go
@@ -59,7 +59,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body Body
 		if refused := decodeBody(w, r, &body); refused != nil {
-			s.writeRefusal(w, r, refused)
+			s.writeRefusal(w, r, "", refused)
 			return
 		}
 		handler(body)
--- a/internal/searcher/search.go
+++ b/internal/searcher/search.go
@@ -15,18 +15,18 @@
 	wait.Sleep(r.Context(), s.cfg.NetworkDelay)
 	var request api.ShardRequest
 	if refused := decodeBody(w, r, &request); refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	s.counters.shards.Add(int64(len(request.Shards)))
 	if refused := s.beginRequest(); refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	defer s.endRequest()
 	reply, refused := s.search(r, request)
 	if refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	s.writeReply(w, r, http.StatusOK, reply)
--- a/internal/searcher/serve.go
+++ b/internal/searcher/serve.go
@@ -147,6 +147,9 @@
 	_, _ = w.Write(encoded)
 }
 
-func (s *Searcher) writeRefusal(w http.ResponseWriter, r *http.Request, refused *refusal) {
-	s.writeReply(w, r, refused.status, refused.body)
+// writeRefusal refuses the request with the given ID, empty if it has none.
+func (s *Searcher) writeRefusal(w http.ResponseWriter, r *http.Request, request string, refused *refusal) {
+	body := refused.body
+	body.RequestID = request
+	s.writeReply(w, r, refused.status, body)
 }
--- a/internal/searcher/submit.go
+++ b/internal/searcher/submit.go
@@ -40,17 +40,17 @@
 	wait.Sleep(r.Context(), s.cfg.NetworkDelay)
 	var request api.TargetSubmit
 	if refused := decodeBody(w, r, &request); refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	if refused := s.beginRequest(); refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	defer s.endRequest()
 	reply, refused := s.submit(r, request)
 	if refused != nil {
-		s.writeRefusal(w, r, refused)
+		s.writeRefusal(w, r, request.RequestID, refused)
 		return
 	}
 	s.writeReply(w, r, http.StatusOK, reply)
