--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -262,5 +262,5 @@
 }
 
 // now returns the time since the node was created. It is never 0, since a stored
-// time of 0 stands for never.
+// time of 0 means never.
 func (n *Node) now() time.Duration { return time.Since(n.startedAt) + 1 }
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -172,7 +172,7 @@
 }
 
 // GoneAnnouncement returns an announcement that the given incarnation of a target is
-// gone. Incarnation 0 stands for the known one.
+// gone. Incarnation 0 means the known one.
 func (t *Targets) GoneAnnouncement(id api.TargetID, incarnation uint64) api.Announcement {
 	a, known := t.Find(id)
 	if !known || incarnation != 0 && incarnation != a.Incarnation {
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -195,7 +195,7 @@
 	time.Sleep(10 * time.Millisecond)
 }
 
-// entryRecords stands for the records of targets that an entry node holds.
+// entryRecords imitates the records of targets that an entry node holds.
 type entryRecords struct {
 	sum   atomic.Uint64
 	known atomic.Bool
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -128,9 +128,9 @@
 
 // refuseUnsentGather refuses a gather past its goal if so many of its parts are still
 // queued for busy targets that the others can't reach the least coverage: these parts
-// would only delay other requests. Parts of a pool with a target that currently
-// accepts no connection are not counted, as they delay nobody. Requests of returning
-// callers are kept until their deadline.
+// would only delay other requests. Parts of a pool with a target that currently accepts
+// no request are not counted, as they delay no other one. Requests of returning callers
+// are kept until their deadline.
 func (s *State) refuseUnsentGather(r *request) bool {
 	if !r.route.config.IsGather() || r.returning {
 		return false
--- a/internal/entry/pool/pool_test.go
+++ b/internal/entry/pool/pool_test.go
@@ -18,7 +18,7 @@
 )
 
 // silencingDialer opens connections that can be made silent: writes succeed but
-// reach nobody, as if a device on the way had lost the connection's state.
+// are lost, as if a device on the way had lost the connection's state.
 type silencingDialer struct {
 	mu     sync.Mutex
 	dialed int
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -12,7 +12,7 @@
 // States of a member, in increasing precedence among records of the same
 // incarnation.
 const (
-	// MemberAlive is a member that nobody suspects.
+	// MemberAlive is a member that no member suspects.
 	MemberAlive MemberState = iota
 	// MemberSuspect is a member that did not answer probes; it can still refute
 	// the suspicion.
