--- a/internal/entry/forward/startup.go
+++ b/internal/entry/forward/startup.go
@@ -37,6 +37,10 @@
 	return true
 }
 
+// maxEarlyRequests limits the requests that wait for the first routing table. Further
+// ones are refused at once.
+const maxEarlyRequests = 1000
+
 // earlyRequest is a request that came before the first routing table.
 type earlyRequest struct {
 	request *request
@@ -47,7 +51,7 @@
 // usually comes within a second of the start. Without a table the node doesn't know
 // whether its caller comes back; once there is one, the request is decided on like others.
 func (s *State) keepsForTable(ev RequestArrived) bool {
-	return s.justStarted() && ev.Deadline.Sub(s.now) > 2*answerMargin
+	return s.justStarted() && len(s.early) < maxEarlyRequests && ev.Deadline.Sub(s.now) > 2*answerMargin
 }
 
 // keepForTable keeps a request for at most half of its time, so that its caller can still
--- a/internal/entry/forward/startup_test.go
+++ b/internal/entry/forward/startup_test.go
@@ -128,3 +128,12 @@
 	h.arriveWith(time.Second)
 	assert.Equal(t, len(find[Refuse](h.allEffects)), before+1)
 }
+
+func TestEarlyRequestsAreBounded(t *testing.T) {
+	h := newHarness(t, nil)
+	for range maxEarlyRequests + 5 {
+		h.arriveWith(time.Second)
+	}
+	assert.Equal(t, h.state.InProgress(), maxEarlyRequests)
+	assert.Equal(t, len(find[Refuse](h.allEffects)), 5)
+}
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -128,8 +128,10 @@
 	// readLast is set while bytes were read after the last write. They belong to a
 	// request that is not answered: the server reads ahead while it writes a response.
 	readLast bool
-	used     bool
-	expired  bool
+	// used is set once anything has been read. expired is set while a read that
+	// expireIfUnused has ended may still have to go on.
+	used    bool
+	expired bool
 }
 
 // Read implements net.Conn. Bytes that arrived before an expiry are still read.
