--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -23,6 +23,9 @@
 	// RetryAfter is the time in seconds for which a target that did not run a request
 	// should get none from this node. Fractions are allowed.
 	RetryAfter string
+	// RateLimit is the number of requests per second, a decimal number, that a target
+	// takes from all nodes together. It is in every reply of the target while it holds.
+	RateLimit string
 	// PartSignatures lists the signatures of the replies merged by a gather.
 	PartSignatures string
 	// MissingParts is the number of parts of a gather that are missing from the
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -92,6 +92,17 @@
 // ReportLeaving reports that a target has said in a reply that it leaves.
 type ReportLeaving struct{ Announcement api.Announcement }
 
+// RateLimitChanged reports that a target has named a rate limit or another one, or names
+// none any more.
+type RateLimitChanged struct {
+	Target api.TargetID
+	Limit  RateLimit
+	// Sent is the number of requests that this node has sent to the target within For,
+	// the time since it first named a limit.
+	Sent uint64
+	For  time.Duration
+}
+
 // Probe sends a health check to a target.
 type Probe struct {
 	Target      api.TargetID
@@ -206,4 +217,5 @@
 func (Probe) effect()               {}
 func (HoldBack) effect()            {}
 func (ReportLeaving) effect()       {}
+func (RateLimitChanged) effect()    {}
 func (ReachabilityChanged) effect() {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -118,6 +118,16 @@
 	RetryAfter time.Duration
 }
 
+// RateLimit is what a reply says about the rate of requests that its target takes from
+// all nodes together.
+type RateLimit struct {
+	// Known is false without a readable reply to this request. Otherwise Named reports
+	// that the target has a limit, of PerSecond requests.
+	Known     bool
+	Named     bool
+	PerSecond float64
+}
+
 // AttemptEnded is the end of an attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
@@ -127,6 +137,7 @@
 	Cause  string
 	Load   LoadReport
 	Demand Demand
+	Limit  RateLimit
 	// ResetAfterDial reports that the target reset a newly opened connection, as one
 	// at its connection limit does.
 	ResetAfterDial bool
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -82,6 +82,7 @@
 	}
 	t.observeLoad(s.now, ev.Load)
 	s.applyDemand(t, ev.Demand)
+	s.observeRateLimit(a, ev.Limit)
 	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure || ev.Outcome == OutcomeNotRun {
 		t.lastReply = s.now
 		t.blockedUntil = time.Time{} // the connection of this attempt is idle now
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -92,6 +92,7 @@
 	retryAt time.Time
 	// recovering is set with retryAt, until the target runs a request again.
 	recovering bool
+	limit      targetLimit
 	// lastReply is when the target last answered a request.
 	lastReply time.Time
 
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -143,6 +143,7 @@
 	_, notRun := reply.Header[http.CanonicalHeaderKey(names.NotRun)]
 	if echoedID == p.id {
 		ended.Demand = n.demandOf(p.id, reply)
+		ended.Limit = n.rateLimitOf(p.id, reply)
 	}
 	switch {
 	case !n.namesRequest(p, reply.Header):
--- a/internal/entry/forwarder/demand.go
+++ b/internal/entry/forwarder/demand.go
@@ -45,6 +45,33 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), true
 }
 
+// rateLimitOf returns what a reply to a request says about the target's rate limit. A
+// malformed header says nothing, since the target does not say that it has no limit.
+func (n *Node) rateLimitOf(request string, reply pool.Reply) forward.RateLimit {
+	name := n.cfg.Headers.RateLimit
+	value := reply.Header.Get(name)
+	if value == "" {
+		return forward.RateLimit{Known: true}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		n.logMalformedHeader(request, name, value)
+		return forward.RateLimit{}
+	}
+	return forward.RateLimit{Known: true, Named: true, PerSecond: perSecond}
+}
+
+func (n *Node) logRateLimit(e forward.RateLimitChanged) {
+	if !e.Limit.Named {
+		telemetry.ForwardTargetLimitLifted.Log(n.logger,
+			zap.String("target", string(e.Target)), zap.Uint64("sent", e.Sent), zap.Duration("for", e.For))
+		return
+	}
+	telemetry.ForwardTargetLimited.Log(n.logger,
+		zap.String("target", string(e.Target)), zap.Float64("per_second", e.Limit.PerSecond),
+		zap.Uint64("sent", e.Sent), zap.Duration("for", e.For))
+}
+
 // holdBack keeps what waits for a connection to a target from being sent.
 func (n *Node) holdBack(e forward.HoldBack) {
 	n.pool.HoldBack(e.Target, e.Until)
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -57,6 +57,8 @@
 		n.holdBack(e)
 	case forward.ReportLeaving:
 		go n.reportLeaving(e) // it applies an event, which needs the lock held here
+	case forward.RateLimitChanged:
+		n.logRateLimit(e)
 	case forward.ReachabilityChanged:
 		n.logReachability(e)
 	default:
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -26,7 +26,7 @@
 
 var headers = api.ForwardHeaders{
 	RequestID: "Id", Deadline: "Left", Signature: "Signed", ExpectTarget: "Only",
-	Load: "Load", NotRun: "Not-Run", Leaving: "Leaving", RetryAfter: "Retry-After",
+	Load: "Load", NotRun: "Not-Run", Leaving: "Leaving", RetryAfter: "Retry-After", RateLimit: "Limit",
 	PartSignatures: "Parts", MissingParts: "Missing",
 }
 
@@ -124,6 +124,38 @@
 	}
 }
 
+// TestRateLimitsAreRead reads the rate limit that targets name in their replies.
+func TestRateLimitsAreRead(t *testing.T) {
+	limited := func(perSecond float64) forward.RateLimit {
+		return forward.RateLimit{Known: true, Named: true, PerSecond: perSecond}
+	}
+	cases := []struct {
+		value string
+		want  forward.RateLimit
+		lines int
+	}{
+		{"", forward.RateLimit{Known: true}, 0},
+		{"28.9", limited(28.9), 0},
+		{" 12 ", limited(12), 0},
+		{"0", limited(0), 0},
+		{"-1", forward.RateLimit{}, 1},
+		{"many", forward.RateLimit{}, 1},
+		{"NaN", forward.RateLimit{}, 1},
+		{"1e999", forward.RateLimit{}, 1},
+	}
+	for _, tc := range cases {
+		core, logs := observer.New(zap.InfoLevel)
+		n := testNode()
+		n.logger = zap.New(core)
+		header := http.Header{"Id": {"r1"}, "Signed": {"s"}, "Limit": {tc.value}}
+		reply := pool.Reply{Status: http.StatusOK, Header: header}
+		assert.Equal(t, n.classify(&pendingRequest{id: "r1"}, reply, nil).Limit, tc.want, tc.value)
+		assert.Equal(t, logs.Len(), tc.lines, tc.value)
+		foreign := n.classify(&pendingRequest{id: "r2"}, reply, nil).Limit
+		assert.Equal(t, foreign, forward.RateLimit{}, "a reply to another request says nothing")
+	}
+}
+
 func TestErrorsAreClassified(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/entry/forwarder/metrics.go
+++ b/internal/entry/forwarder/metrics.go
@@ -18,6 +18,8 @@
 	metricTableAge    = "wigeonbay_forward_table_confirmed_seconds_ago"
 	metricControls    = "wigeonbay_forward_controls_reached"
 	metricConnections = "wigeonbay_forward_connections"
+	metricTargetLimit = "wigeonbay_forward_target_limit_per_second"
+	metricLimitedSent = "wigeonbay_forward_limited_target_sends_total"
 )
 
 // recordMetrics records the metrics of a finished request. The caller holds mu.
@@ -43,6 +45,10 @@
 		set(metricTableAge, age.Seconds())
 	}
 	set(metricControls, float64(n.watcher.CountReachable()))
+	for _, l := range n.state.LimitedTargets() {
+		set(telemetry.Series(metricTargetLimit, "target", string(l.Target)), l.Limit.PerSecond)
+		set(telemetry.Series(metricLimitedSent, "target", string(l.Target)), float64(l.Sent))
+	}
 	for _, p := range n.state.Pools() {
 		set(telemetry.Series(metricQueue, "service", p.Name), float64(p.Waiting))
 		set(telemetry.Series(metricBudget, "service", p.Name), p.BudgetLeft)
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -32,6 +32,8 @@
 	ForwardRequestRejected         = Event{1311, zapcore.WarnLevel, "request rejected", "A request was refused before it was routed: its body could not be read or is too large, or the node is shutting down (503)."}
 	ForwardTargetHeldBack          = Event{1314, zapcore.InfoLevel, "target held back", "The target refused a request with a retry time. Until it has passed, the target gets no requests from this node, and then one at a time until it runs one."}
 	ForwardTargetLeaving           = Event{1315, zapcore.InfoLevel, "target says that it leaves", "A reply of the target says that it leaves. It gets no new requests from this node, whatever is announced about this incarnation, and the control processes are told."}
+	ForwardTargetLimited           = Event{1316, zapcore.InfoLevel, "target names a rate limit", "A reply of the target names the requests per second that it takes from all entry nodes together, or another number than before. The fields sent and for give what this node has sent it since it first named one. Logged at most once a second for each target."}
+	ForwardTargetLimitLifted       = Event{1317, zapcore.InfoLevel, "target's rate limit lifted", "A reply of the target names no rate limit any more. The fields sent and for give what this node has sent it while it named one."}
 	ForwardHeaderMalformed         = Event{1313, zapcore.WarnLevel, "malformed header", "A header of a caller or a target could not be parsed and is ignored. Without a deadline the timeout of the route applies; without a load report the node estimates the target's load from its own requests to it."}
 )
 
@@ -42,5 +44,5 @@
 	ForwardStarted, ForwardStopped, ForwardDraining, ForwardSettingsReloaded, ForwardTableInForce,
 	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
 	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
-	ForwardTargetLeaving,
+	ForwardTargetLeaving, ForwardTargetLimited, ForwardTargetLimitLifted,
 }
