--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -34,6 +34,7 @@
 			reply.Targets, reply.Offers = d.targets.Offers(since, knownOffers(args, d.epoch), args.Lacks)
 		}
 	}
+	reply.EntryRank = d.watchers.EntryRank(time.Now(), args.DataCentre, args.Node)
 	nodes := d.watchers.EntryNodes(time.Now())
 	reply.PeersChecksum = checksumPeers(controls, nodes)
 	if args.PeersChecksum != reply.PeersChecksum || args.Epoch != d.epoch {
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -128,4 +128,7 @@
 	Controls []string
 	// EntryNodes counts the live entry nodes of each data centre.
 	EntryNodes map[string]int
+	// EntryRank is the rank of an entry node that watches among those of its data centre,
+	// sorted by name, from 0.
+	EntryRank int
 }
--- a/internal/discovery/targets_test.go
+++ b/internal/discovery/targets_test.go
@@ -81,6 +81,25 @@
 	assert.Equal(t, len(targets.Since(targets.Revision())), 0)
 }
 
+// TestEntryRanksAreDense checks that live entry nodes of a data centre have the ranks from 0
+// on, without regard to others.
+func TestEntryRanksAreDense(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	w := NewWatchers(time.Second)
+	for _, name := range []string{"c", "a", "b"} {
+		w.RecordPoll(start, name, WatcherEntry, "d", 0)
+	}
+	w.RecordPoll(start, "aa", WatcherEntry, "e", 0)
+	w.RecordPoll(start, "ab", WatcherControl, "d", 0)
+	for rank, name := range []string{"a", "b", "c"} {
+		assert.Equal(t, w.EntryRank(start, "d", name), rank)
+	}
+	assert.Equal(t, w.EntryRank(start, "e", "aa"), 0)
+	later := start.Add(1100 * time.Millisecond)
+	w.RecordPoll(later, "c", WatcherEntry, "d", 0)
+	assert.Equal(t, w.EntryRank(later, "d", "c"), 0, "expired nodes must not count")
+}
+
 func TestBehindIgnoresExpiredWatchers(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	w := NewWatchers(time.Second)
--- a/internal/discovery/watchers.go
+++ b/internal/discovery/watchers.go
@@ -69,6 +69,18 @@
 	return behind
 }
 
+// EntryRank returns the number of live entry nodes of a data centre whose name comes before
+// that of a node.
+func (w *Watchers) EntryRank(now time.Time, dataCentre, node string) int {
+	rank := 0
+	for other, known := range w.byNode {
+		if known.kind == WatcherEntry && known.dataCentre == dataCentre && other < node && now.Sub(known.lastPoll) <= w.expiry {
+			rank++
+		}
+	}
+	return rank
+}
+
 // EntryNodes returns the number of live entry nodes in each data centre.
 func (w *Watchers) EntryNodes(now time.Time) map[string]int {
 	count := map[string]int{}
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -236,7 +236,7 @@
 	p.tried = append(p.tried, t)
 	p.outstanding = append(p.outstanding, a)
 	t.outstanding = append(t.outstanding, a)
-	t.limit.recordSend()
+	t.limit.recordSend(s.now)
 	r.sends = append(r.sends, a)
 	s.counters.Sends++
 	s.emit(Send{Request: r.id, Attempt: a.id, Target: t.id(), Deadline: r.deadline.Add(-answerMargin / 2), VerifyConnection: s.mustVerifyConnection(r)})
--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -29,10 +29,23 @@
 	}
 }
 
-// inTime reports whether a target that has no room now may have room early enough for a
-// request. Only a target with a retry time is known not to have any before.
-func (s *State) inTime(r *request, t *target) bool {
-	return !s.now.Before(t.retryAt) || !t.retryAt.After(s.lastStart(r))
+// roomInTime returns how many requests a target that has no room now takes until it is too
+// late for a request. Only one with a retry time or a rate limit is known to take few.
+func (s *State) roomInTime(r *request, t *target) int {
+	latest := later(s.now, s.lastStart(r))
+	if t.retryAt.After(latest) {
+		return 0
+	}
+	return t.limit.allowedUntil(latest)
+}
+
+// queuedBefore returns how many of a pool's queued parts a part comes after, unless it is
+// one of them itself.
+func (p *part) queuedBefore() int {
+	if p.phase == partWaiting {
+		return 0
+	}
+	return len(p.pool.waiting)
 }
 
 // lastStart returns the latest time at which it is of use to send a part of a request. A
@@ -52,16 +65,15 @@
 	if s.awaitsTargets(r, p) {
 		return 0
 	}
-	soonest, known := maxProbeInterval, false
+	soonest, known, room := maxProbeInterval, false, 0
 	for _, t := range p.targets {
 		if !t.acceptsWork() {
 			continue
 		}
-		wait := t.retryAt.Sub(s.now)
-		switch {
-		case t.unreachable:
+		wait := t.demandedUntil().Sub(s.now)
+		if t.unreachable {
 			wait = max(minProbeInterval, t.nextProbe.Sub(s.now), wait)
-		case s.inTime(r, t):
+		} else if room += s.roomInTime(r, t); room > len(p.waiting) {
 			return 0
 		}
 		if !known || wait < soonest {
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -97,6 +97,8 @@
 type RateLimitChanged struct {
 	Target api.TargetID
 	Limit  RateLimit
+	// Share is this node's part of the limit in requests per second.
+	Share float64
 	// Sent is the number of requests that this node has sent to the target within For,
 	// the time since it first named a limit.
 	Sent uint64
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -24,8 +24,12 @@
 // outdated ones.
 type TargetChanged struct{ Announcement api.Announcement }
 
-// NodesChanged carries the number of live entry nodes in each data centre.
-type NodesChanged struct{ PerDataCentre map[string]int }
+// NodesChanged carries the number of live entry nodes in each data centre, and the rank of
+// this node among those of its own, from 0.
+type NodesChanged struct {
+	PerDataCentre map[string]int
+	Rank          int
+}
 
 // RequestArrived is the arrival of a caller's request.
 type RequestArrived struct {
--- a/internal/entry/forward/explain.go
+++ b/internal/entry/forward/explain.go
@@ -12,6 +12,7 @@
 	excludedUnreachable = "unreachable"
 	excludedFull        = "no room"
 	excludedHeldBack    = "held back"
+	excludedLimited     = "rate limit"
 )
 
 // Explain describes how a request would be forwarded at now, and returns false if no
@@ -67,6 +68,8 @@
 		c.Excluded = excludedUnreachable
 	case s.now.Before(t.retryAt):
 		c.Excluded = excludedHeldBack
+	case s.now.Before(t.limit.allowsAt()):
+		c.Excluded = excludedLimited
 	case !t.hasRoom(s.now):
 		c.Excluded = excludedFull
 	}
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -69,6 +69,9 @@
 		if p.phase == partWaiting {
 			s.sendWaiting(p.pool) // a target may accept connections again
 		}
+		if p.phase == partWaiting && !s.now.Before(r.due) {
+			s.dropHopelessWaiting(p.pool)
+		}
 	}
 	if r.done {
 		return
@@ -206,3 +209,10 @@
 	}
 	return a
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -100,6 +100,7 @@
 // Unreachable targets are left out until they are reachable again.
 func (s *State) choose(p *part) (best *target, wait bool) {
 	wait = s.awaitsTargets(p.request, p.pool)
+	room, ahead := 0, p.queuedBefore()
 	work := s.usualWork(p.request.route)
 	var bestScore time.Duration
 	targets := p.pool.targets
@@ -110,7 +111,8 @@
 			continue
 		}
 		if !t.hasRoom(s.now) {
-			wait = wait || s.inTime(p.request, t)
+			room += s.roomInTime(p.request, t)
+			wait = wait || room > ahead
 			continue
 		}
 		score := s.score(t, work)
--- a/internal/entry/forward/ratelimit_test.go
+++ b/internal/entry/forward/ratelimit_test.go
@@ -62,11 +62,11 @@
 		counts[fmt.Sprintf("dc%d", i)] = count
 	}
 	for i, count := range perDataCentre {
-		for range count {
+		for rank := range count {
 			h := newHarness(t, nil)
 			h.state = New(Options{DataCentre: fmt.Sprintf("dc%d", i), Budget: testBudget})
 			f.nodes = append(f.nodes, h)
-			h.apply(NodesChanged{PerDataCentre: counts})
+			h.apply(NodesChanged{PerDataCentre: counts, Rank: rank})
 			h.apply(TableInstalled{Table: newTable(1, gatherRoute("h", "a"))})
 			for target := range 3 {
 				h.addTarget(fmt.Sprintf("t%d", target), "a", fmt.Sprintf("dc%d", target))
@@ -92,7 +92,9 @@
 			Request: h.lastRequest, Host: "h", Path: "/a/x",
 			Deadline: f.now.Add(2 * time.Second), Seed: f.random.Uint64(),
 		})
-		f.schedule(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+		if wait := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)); f.now.Add(wait).Before(end) {
+			f.schedule(wait, next)
+		}
 	}
 	next()
 	for len(f.events) > 0 && f.events[0].at.Before(end) {
@@ -100,7 +102,7 @@
 		f.now = e.at
 		e.run()
 	}
-	f.events, f.now = nil, end
+	f.now = end
 }
 
 // handle applies an event to a node and has targets and timers act on its effects.
@@ -185,6 +187,86 @@
 			f.limits = tc.limits
 			f.run(tc.perSecond, time.Minute)
 			f.checkLimits()
+			f.run(4*tc.perSecond, 10*time.Second)
+			f.checkLimits()
 		})
 	}
 }
+
+// TestCallersBeyondTheLimitsAreRefusedAtOnce gives a pool that takes half of the requests
+// all of them, and checks that targets get what they take and the others are refused early.
+//
+// fault: overload x forward
+func TestCallersBeyondTheLimitsAreRefusedAtOnce(t *testing.T) {
+	const limited, leastServed = 90.0, 0.8
+	f := newFleet(t, 3, 1, 2)
+	f.limits = map[api.TargetID]float64{"t0": 30, "t1": 25, "t2": 35}
+	f.run(2*limited, 10*time.Second)
+	f.answered, f.refusals = 0, nil
+	f.run(2*limited, time.Minute)
+	assert.Assert(t, float64(f.answered) >= leastServed*limited*time.Minute.Seconds(), "answered %d", f.answered)
+	for _, r := range f.refusals {
+		assert.Equal(t, r.Status, http.StatusServiceUnavailable)
+		assert.Assert(t, r.RetryAfter > 0)
+		assert.Assert(t, r.Summary.Took <= r.Summary.Goal/4, "refused after %v", r.Summary.Took)
+	}
+}
+
+// TestLiftedLimitIsForgotten lets targets serve again that name no limit any more, also
+// with nodes that had no share and so get no reply.
+func TestLiftedLimitIsForgotten(t *testing.T) {
+	for _, nodes := range []int{6, 300} {
+		f := newFleet(t, nodes/3, nodes/3, nodes/3)
+		f.limits = map[api.TargetID]float64{"t0": 2}
+		f.run(90, 30*time.Second)
+		f.limits = nil
+		f.run(90, 2*minLimitMemory)
+		f.received = map[api.TargetID]int{}
+		f.run(90, 10*time.Second)
+		assert.Check(t, f.received["t0"] > 200, "%d nodes: t0 got %d of 900 requests", nodes, f.received["t0"])
+	}
+}
+
+// TestRateSharesAddUpToNoMoreThanTheLimit computes the shares of all nodes of a deployment.
+func TestRateSharesAddUpToNoMoreThanTheLimit(t *testing.T) {
+	for _, perDataCentre := range [][]int{{1}, {3, 1, 2}, {12, 12, 12, 12, 12, 12}, {49, 49, 49, 49, 49, 49}, {600, 600, 600}} {
+		for _, limit := range []float64{0, 0.1, 0.5, 1, 7.3, 16, 28.9, 200, 5000} {
+			shares, bursts := 0.0, 0.0
+			for _, h := range newFleet(t, perDataCentre...).nodes {
+				target := h.state.targets["t0"]
+				target.limit.limit = RateLimit{Known: true, Named: true, PerSecond: limit}
+				h.state.shareRateLimit(target)
+				shares += target.limit.share
+				if target.limit.share > 0 {
+					bursts += target.limit.capacity()
+				}
+			}
+			most := limitTolerance*limit*limitWindow.Seconds() + limitSlack
+			assert.Check(t, shares <= limit, "%v nodes, limit %v: shares of %v", perDataCentre, limit, shares)
+			assert.Check(t, shares >= 0.7*limit, "%v nodes, limit %v: shares of %v", perDataCentre, limit, shares)
+			assert.Check(t, shares*limitWindow.Seconds()+bursts <= most, "%v nodes, limit %v: shares of %v, bursts of %v", perDataCentre, limit, shares, bursts)
+		}
+	}
+}
+
+// TestLimitOutlivesANewAddress checks that a target keeps its limit within an incarnation.
+func TestLimitOutlivesANewAddress(t *testing.T) {
+	h := newHarness(t, newTable(1, plainRoute("h", "a", true)))
+	h.addTarget("t1", "a", home)
+	send := h.onlySend(h.arrive("h"))
+	delete(h.inFlight, send.Attempt)
+	limit := RateLimit{Known: true, Named: true, PerSecond: 0.1}
+	changed := find[RateLimitChanged](h.apply(AttemptEnded{Attempt: send.Attempt, Outcome: OutcomeSuccess, Status: 200, Limit: limit}))
+	assert.Equal(t, len(changed), 1)
+	assert.Equal(t, changed[0].Limit, limit)
+
+	h.announceReady("t1", 1, "10.0.0.9:1")
+	refused := find[Refuse](h.apply(RequestArrived{Request: 100, Host: "h", Path: "/a/x", Deadline: h.now.Add(5 * time.Second)}))
+	assert.Equal(t, len(refused), 1)
+	explained, ok := h.state.Explain(h.now, "h", "/a/x")
+	assert.Assert(t, ok)
+	assert.Equal(t, explained.Pools[0].Candidates[0].Excluded, excludedLimited)
+
+	h.announceReady("t1", 2, "10.0.0.9:1")
+	assert.Equal(t, len(h.sends(h.arrive("h"))), 1, "a new incarnation has no limit")
+}
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -31,6 +31,8 @@
 	attempts map[AttemptID]*attempt
 	// nodes counts the live entry nodes of each data centre, this node included.
 	nodes map[string]int
+	// rank is the rank of this node among those of its data centre.
+	rank int
 	// roundTrips holds the shortest round trip measured to each data centre.
 	roundTrips map[string]time.Duration
 
@@ -205,7 +207,7 @@
 	case TargetChanged:
 		s.updateTarget(ev.Announcement)
 	case NodesChanged:
-		s.updateNodes(ev.PerDataCentre)
+		s.updateNodes(ev.PerDataCentre, ev.Rank)
 	case RequestArrived:
 		s.handleArrival(ev)
 	case CallerGone:
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -119,21 +119,24 @@
 // heldUntil returns the time until which nothing may be sent to the target; it may be
 // in the past.
 func (t *target) heldUntil() time.Time {
-	if t.retryAt.After(t.blockedUntil) {
-		return t.retryAt
-	}
-	return t.blockedUntil
+	return later(t.blockedUntil, t.demandedUntil())
+}
+
+// demandedUntil returns the time until which the target wants no request from this node;
+// it may be in the past.
+func (t *target) demandedUntil() time.Time {
+	return later(t.retryAt, t.limit.allowsAt())
 }
 
 // hasRoom reports whether one more request may be sent to the target now. One that is
 // full or at its connection limit gets one request of this node at a time, since a
 // connection opened before stays usable. So does one whose retry time has just passed,
-// as all parts together could overload it again.
+// as all parts together could overload it again, and one whose rate limit may be over.
 func (t *target) hasRoom(now time.Time) bool {
 	if now.Before(t.heldUntil()) {
 		return false
 	}
-	if t.recovering || now.Before(t.atLimitUntil) || t.load(now) >= float64(maxLoadPerSlot*t.announcement.Slots) {
+	if t.recovering || t.limit.hasExpired(now) || now.Before(t.atLimitUntil) || t.load(now) >= float64(maxLoadPerSlot*t.announcement.Slots) {
 		return len(t.outstanding) == 0
 	}
 	return len(t.outstanding) < t.share
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -71,8 +71,8 @@
 	return p
 }
 
-func (s *State) updateNodes(perDataCentre map[string]int) {
-	s.nodes = perDataCentre
+func (s *State) updateNodes(perDataCentre map[string]int, rank int) {
+	s.nodes, s.rank = perDataCentre, max(0, rank)
 	if s.nodes[s.options.DataCentre] == 0 {
 		s.nodes[s.options.DataCentre] = 1
 	}
@@ -85,7 +85,7 @@
 // has changed is replaced by a new one.
 func (s *State) updateTarget(a api.Announcement) {
 	t := s.targets[a.Target]
-	leaving := t != nil && t.leaving && t.announcement.Incarnation == a.Incarnation
+	previous := t
 	if t != nil && (a.State == api.TargetGone || t.announcement.Incarnation != a.Incarnation ||
 		t.announcement.Address != a.Address || t.announcement.Service != a.Service) {
 		s.removeTarget(t)
@@ -96,7 +96,9 @@
 	}
 	if t == nil {
 		t = newTarget(a, s.now)
-		t.leaving = leaving
+		if previous != nil && previous.announcement.Incarnation == a.Incarnation {
+			t.leaving, t.limit = previous.leaving, previous.limit
+		}
 		t.local = a.DataCentre == s.options.DataCentre
 		s.targets[a.Target] = t
 		s.poolNamed(a.Service).add(t)
@@ -142,6 +144,7 @@
 		least = minLocalShare
 	}
 	t.share = min(max(share, least), t.announcement.Slots+spareConnections)
+	s.shareRateLimit(t)
 	preopen, maxIdle := s.idleConnections(t, sharedConnectionFraction*float64(limit))
 	s.emit(Connect{Target: t.id(), Address: t.announcement.Address, Connections: t.share, Preopen: preopen, MaxIdle: maxIdle})
 }
--- a/internal/entry/forwarder/demand.go
+++ b/internal/entry/forwarder/demand.go
@@ -68,7 +68,7 @@
 		return
 	}
 	telemetry.ForwardTargetLimited.Log(n.logger,
-		zap.String("target", string(e.Target)), zap.Float64("per_second", e.Limit.PerSecond),
+		zap.String("target", string(e.Target)), zap.Float64("per_second", e.Limit.PerSecond), zap.Float64("share", e.Share),
 		zap.Uint64("sent", e.Sent), zap.Duration("for", e.For))
 }
 
--- a/internal/entry/forwarder/metrics.go
+++ b/internal/entry/forwarder/metrics.go
@@ -19,6 +19,7 @@
 	metricControls    = "wigeonbay_forward_controls_reached"
 	metricConnections = "wigeonbay_forward_connections"
 	metricTargetLimit = "wigeonbay_forward_target_limit_per_second"
+	metricLimitShare  = "wigeonbay_forward_target_limit_share_per_second"
 	metricLimitedSent = "wigeonbay_forward_limited_target_sends_total"
 )
 
@@ -47,6 +48,7 @@
 	set(metricControls, float64(n.watcher.CountReachable()))
 	for _, l := range n.state.LimitedTargets() {
 		set(telemetry.Series(metricTargetLimit, "target", string(l.Target)), l.Limit.PerSecond)
+		set(telemetry.Series(metricLimitShare, "target", string(l.Target)), l.Share)
 		set(telemetry.Series(metricLimitedSent, "target", string(l.Target)), float64(l.Sent))
 	}
 	for _, p := range n.state.Pools() {
--- a/internal/entry/forwarder/readiness.go
+++ b/internal/entry/forwarder/readiness.go
@@ -27,6 +27,7 @@
 	ready        bool
 	tableVersion uint64
 	nodes        nodeCounts
+	ranks        nodeCounts
 	// confirmedAt is when a current control process last had no newer routing table.
 	confirmedAt time.Time
 }
--- a/internal/entry/forwarder/watch.go
+++ b/internal/entry/forwarder/watch.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -23,7 +24,7 @@
 	for _, a := range reply.Targets {
 		n.mergeAnnouncement(a, address, reply.Revision)
 	}
-	n.updateNodeCounts(reply.EntryNodes)
+	n.updateNodeCounts(reply.EntryNodes, reply.EntryRank)
 	if table != nil && table.Version > n.state.TableVersion() {
 		n.stepLocked(forward.TableInstalled{Table: table})
 		n.maxBodyBytes = table.Limits.BodyBytes
@@ -96,11 +97,14 @@
 
 // updateNodeCounts records the number of live entry nodes per data centre. Control
 // processes that have just started know only some of them, so the greatest of the
-// recent counts is used.
-func (n *Node) updateNodeCounts(counts map[string]int) {
-	changed := n.ready.nodes.update(time.Now(), counts)
-	if changed != nil {
-		n.stepLocked(forward.NodesChanged{PerDataCentre: changed})
+// recent counts is used, and the greatest of the recent ranks of this node.
+func (n *Node) updateNodeCounts(counts map[string]int, rank int) {
+	now := time.Now()
+	own := n.cfg.Settings.Node.DataCentre
+	countsChanged := n.ready.nodes.update(now, counts) != nil
+	rankChanged := n.ready.ranks.update(now, map[string]int{own: rank}) != nil
+	if countsChanged || rankChanged {
+		n.stepLocked(forward.NodesChanged{PerDataCentre: maps.Clone(n.ready.nodes.current), Rank: n.ready.ranks.current[own]})
 	}
 }
 
