--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -18,6 +18,7 @@
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/gather"
 	"wigeonbay/internal/entry/pool"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/telemetry"
 )
 
@@ -29,8 +30,13 @@
 	id       string
 	incoming *http.Request
 	body     []byte
-	done     chan answer
-	arrived  time.Time
+	// fingerprint identifies the request's content: callers that send the same again use
+	// another ID.
+	fingerprint quarantine.Fingerprint
+	// uri is the start of the request's URI, for the log.
+	uri     string
+	done    chan answer
+	arrived time.Time
 }
 
 // answer is the response to a caller: a refusal, one target's reply, or the replies in
@@ -71,6 +77,8 @@
 	pending := &pendingRequest{
 		ctx: ctx, id: r.Header.Get(n.cfg.Headers.RequestID),
 		incoming: r, body: body, arrived: arrived, done: make(chan answer, 1),
+		fingerprint: quarantine.NewFingerprint(r.Method, r.Host, r.RequestURI, body),
+		uri:         r.RequestURI[:min(len(r.RequestURI), maxLoggedURIBytes)],
 	}
 	a, ok := n.awaitAnswer(request, pending, forward.RequestArrived{
 		Request:  request,
@@ -218,6 +226,9 @@
 	_, _ = w.Write(reply.Body)
 }
 
+// maxLoggedURIBytes limits how much of a request's URI is logged.
+const maxLoggedURIBytes = 100
+
 // logRequest records the metrics of a finished request and logs its summary. For a
 // request that was answered completely and in time, the immediate successes are logged
 // by target name only.
@@ -242,6 +253,8 @@
 	late := s.Goal > 0 && s.Took > s.Goal
 	if status < http.StatusOK || status >= http.StatusBadRequest || s.Missed > 0 || late {
 		telemetry.ForwardRequestFailedOrDegraded.Log(n.logger, append(fields,
+			zap.Stringer("fingerprint", p.fingerprint),
+			zap.String("uri", p.uri),
 			zap.Duration("time_left", s.TimeLeft),
 			zap.Duration("caller_delay", s.CallerDelay),
 			zap.Bool("returning", s.Returning),
