--- a/internal/tools/faultmatrix/matrix.go
+++ b/internal/tools/faultmatrix/matrix.go
@@ -24,6 +24,7 @@
 	{"restart-after-changes", "restart after hundreds of changes"},
 	{"failing-target", "slow or failing target"},
 	{"overload", "overload"},
+	{"crashing-request", "request that crashes its target"},
 	{"endless-reply", "reply without end"},
 	{"duplicate-reply", "second copy of a reply"},
 	{"two-at-once", "two at once"},
