--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -17,6 +17,7 @@
 	"wigeonbay/internal/control/replica"
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/settings"
 )
 
@@ -435,6 +436,43 @@
 	assert.Assert(t, !known)
 }
 
+// TestCrashReportsOfSeveralNodesBecomeAVerdict has three entry nodes report a crash each,
+// and checks who is told, also by a process that has lost its memory.
+//
+// fault: crashing-request x forward
+func TestCrashReportsOfSeveralNodesBecomeAVerdict(t *testing.T) {
+	s := newSeededGroup(t, "a", "b")
+	node, restarted := s.launch(s.members[0], true), s.launch(s.members[1], true)
+	request := quarantine.NewFingerprint("POST", "h", "/x", nil)
+	now := time.Now()
+	watch := func(at *Node, args controlrpc.WatchArgs) controlrpc.WatchReply {
+		args.DataCentre = "dc-a"
+		var reply controlrpc.WatchReply
+		at.watchLocal(context.Background(), &args, 0, &reply)
+		return reply
+	}
+	for i, name := range []string{"e1", "e2", "e3"} {
+		reply := watch(node, controlrpc.WatchArgs{Node: name, Kind: discovery.WatcherEntry})
+		assert.Equal(t, len(reply.Verdicts), 0)
+		crashed := now.Add(time.Duration(i-3) * time.Second).UnixMilli()
+		watch(node, controlrpc.WatchArgs{Node: name, Kind: discovery.WatcherEntry, CrashReports: []quarantine.Report{
+			{Request: request, Target: api.TargetID("t" + name), Incarnation: 1, SentMS: crashed - 10, AtMS: crashed},
+		}})
+	}
+	told := watch(node, controlrpc.WatchArgs{Node: "e4", Kind: discovery.WatcherEntry})
+	assert.Equal(t, len(told.Verdicts), 1)
+	assert.Equal(t, told.Verdicts[0].Request, request)
+	again := watch(node, controlrpc.WatchArgs{Node: "e4", Kind: discovery.WatcherEntry, VerdictsChecksum: told.VerdictsChecksum})
+	assert.Equal(t, len(again.Verdicts), 0, "a watcher that knows the verdicts isn't told again")
+	control := watch(node, controlrpc.WatchArgs{Node: "c", Kind: discovery.WatcherControl})
+	assert.Equal(t, len(control.Verdicts), 0)
+
+	assert.Equal(t, watch(restarted, controlrpc.WatchArgs{Node: "e5", Kind: discovery.WatcherEntry}).VerdictsChecksum, uint64(0))
+	watch(restarted, controlrpc.WatchArgs{Node: "e4", Kind: discovery.WatcherEntry, Verdicts: told.Verdicts, VerdictsChecksum: told.VerdictsChecksum})
+	learned := watch(restarted, controlrpc.WatchArgs{Node: "e5", Kind: discovery.WatcherEntry})
+	assert.DeepEqual(t, learned.Verdicts, told.Verdicts)
+}
+
 // TestWatcherTableReachesStartingNode starts one of three replicas, so that it
 // has no quorum, as if disconnected, and lacks the newest table. An entry node that starts there must get the table
 // that its neighbours use, and the replica must not count it as confirmed or
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -13,6 +13,7 @@
 	"wigeonbay/internal/control/replica"
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/telemetry"
 )
 
@@ -61,6 +62,8 @@
 	watchers *discovery.Watchers
 	// watcherTable is the newest routing table that a watcher sent.
 	watcherTable controlrpc.Document
+	// quarantine holds what entry nodes report of requests that crash targets.
+	quarantine *quarantine.Set
 }
 
 func newDirectory(epoch uint64) *directory {
@@ -71,6 +74,8 @@
 		confirmed: newBroadcast(),
 		targets:   discovery.NewTargets(),
 		watchers:  discovery.NewWatchers(watcherExpiry),
+
+		quarantine: quarantine.NewSet(),
 	}
 }
 
@@ -176,6 +181,7 @@
 			n.mergeAnnouncement(a, args.Node)
 		}
 	}
+	n.recordCrashes(args)
 	n.recordPoll(args, since)
 	n.recordTable(args)
 	timer := time.NewTimer(wait)
@@ -219,6 +225,29 @@
 	}
 }
 
+// recordCrashes applies an entry node's crash reports and verdicts.
+func (n *Node) recordCrashes(args *controlrpc.WatchArgs) {
+	if len(args.CrashReports)+len(args.Verdicts) == 0 {
+		return
+	}
+	now := time.Now()
+	n.directory.mu.Lock()
+	changed := n.directory.quarantine.Merge(now, args.Verdicts)
+	for _, report := range args.CrashReports {
+		if verdict, ok := n.directory.quarantine.Add(now, report); ok {
+			changed = append(changed, verdict)
+		}
+	}
+	n.directory.mu.Unlock()
+	for _, verdict := range changed {
+		telemetry.ControlVerdictChanged.Log(n.logger,
+			zap.Stringer("fingerprint", verdict.Request),
+			zap.Bool("in_force", verdict.InForce(now)),
+			zap.Time("last_crash", time.UnixMilli(verdict.LastCrashMS).UTC()),
+			zap.String("source", args.Node))
+	}
+}
+
 // recordPoll marks the watcher as live. Polling with a revision confirms it,
 // which wakes the callers that wait for the confirmation.
 func (n *Node) recordPoll(args *controlrpc.WatchArgs, since uint64) {
--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/discovery"
 )
 
 // fillWatchReply fills in what the watcher lacks.
@@ -35,6 +36,9 @@
 		}
 	}
 	reply.EntryRank = d.watchers.EntryRank(time.Now(), args.DataCentre, args.Node)
+	if reply.VerdictsChecksum = d.quarantine.Checksum(); args.Kind == discovery.WatcherEntry && reply.VerdictsChecksum != args.VerdictsChecksum {
+		reply.Verdicts = d.quarantine.Verdicts()
+	}
 	nodes := d.watchers.EntryNodes(time.Now())
 	reply.PeersChecksum = checksumPeers(controls, nodes)
 	if args.PeersChecksum != reply.PeersChecksum || args.Epoch != d.epoch {
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -3,6 +3,7 @@
 import (
 	"wigeonbay/internal/api"
 	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/wire"
 )
 
@@ -87,6 +88,12 @@
 	// the watcher learned from replies of targets, and to a control process that has
 	// restarted all that the watcher knows.
 	Withdrawals []api.Announcement
+	// CrashReports are the watcher's reports on requests that crash targets since the last
+	// poll. VerdictsChecksum is the checksum of the verdicts that it knows, Verdicts all of
+	// them if the checksum of the control process's last reply was another one.
+	CrashReports     []quarantine.Report
+	VerdictsChecksum uint64
+	Verdicts         []quarantine.Verdict
 	// WaitMS is how long the call may be held until there is a change, in
 	// milliseconds.
 	WaitMS int64
@@ -131,4 +138,8 @@
 	// EntryRank is the rank of an entry node that watches among those of its data centre,
 	// sorted by name, from 0.
 	EntryRank int
+	// VerdictsChecksum is the checksum of the verdicts on requests that crash targets,
+	// Verdicts all of them if the watcher's checksum is another one.
+	VerdictsChecksum uint64
+	Verdicts         []quarantine.Verdict
 }
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -14,6 +14,7 @@
 	"wigeonbay/internal/api"
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wait"
 	"wigeonbay/internal/wire"
@@ -82,6 +83,11 @@
 	// known ones, since the process has lost its records. It also returns the number
 	// of the last one. Nil for a watcher that reports none.
 	Withdrawals func(number uint64, restarted bool) (withdrawals []api.Announcement, last uint64)
+	// CrashReports returns the reports on requests that crash targets after a number, and
+	// the number of the last one. Verdicts returns the known verdicts and their checksum.
+	// Both are nil for a watcher that forwards no requests.
+	CrashReports func(number uint64) (reports []quarantine.Report, last uint64)
+	Verdicts     func() (verdicts []quarantine.Verdict, checksum uint64)
 }
 
 // Watcher polls control processes. It is safe for concurrent use.
@@ -133,6 +139,10 @@
 	// it has been told all withdrawals.
 	withdrawalsSent uint64
 	restarted       bool
+	// crashReportsSent is the number of the last crash report sent to the process since
+	// its start, verdictsChecksum that of the verdicts it knows.
+	crashReportsSent uint64
+	verdictsChecksum uint64
 	// wantsTable is set if the last reply requested the watcher's routing table.
 	wantsTable bool
 	// lastListed is when a reply or the settings last listed the process.
@@ -245,6 +255,7 @@
 	if w.cfg.Withdrawals != nil {
 		args.Withdrawals, withdrawalsSent = w.cfg.Withdrawals(p.withdrawalsSent, p.restarted)
 	}
+	crashReportsSent := w.addCrashes(p, args)
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
@@ -256,6 +267,7 @@
 	succeeded := err == nil && reply.Result.Code == controlrpc.CodeOK
 	if succeeded {
 		p.withdrawalsSent, p.restarted = withdrawalsSent, false
+		p.crashReportsSent, p.verdictsChecksum = crashReportsSent, reply.VerdictsChecksum
 		p.restoreOmitted(&reply)
 		w.cfg.OnReply(address, &reply)
 		w.updateRevision(p, args.Aside, &reply)
@@ -266,6 +278,21 @@
 	return succeeded
 }
 
+// addCrashes adds to a poll what the process lacks of crash reports and verdicts. It
+// returns the number of the last report.
+func (w *Watcher) addCrashes(p *controlProcess, args *controlrpc.WatchArgs) uint64 {
+	if w.cfg.CrashReports == nil {
+		return 0
+	}
+	verdicts, checksum := w.cfg.Verdicts()
+	if args.VerdictsChecksum = checksum; checksum != p.verdictsChecksum {
+		args.Verdicts = verdicts
+	}
+	reports, last := w.cfg.CrashReports(p.crashReportsSent)
+	args.CrashReports = reports
+	return last
+}
+
 // hasNearerSource reports whether the watcher gets the records from a control process
 // in its own data centre rather than from p. The data centre of p is unknown before its
 // first reply; until then the result is true, so that p sends no records. Without
@@ -308,6 +335,7 @@
 		// One data centre's watchers suffice: control processes tell each other.
 		p.restarted = reply.DataCentre == w.cfg.DataCentre
 		p.epoch, p.revision, p.checksumDelta = reply.Epoch, 0, 0
+		p.crashReportsSent = 0 // a process that has restarted knows no reports
 	}
 	offersRequested := p.wantsOffers || len(p.offers) > 0
 	p.offers, p.offersRevision, p.wantsOffers = nil, 0, false
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -33,7 +33,7 @@
 // handleArrival admits a new request, or keeps it until there is a routing table.
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
-	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay}
+	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint}
 	switch {
 	case s.routes != nil:
 		s.admit(r, ev)
@@ -55,6 +55,9 @@
 	if !ev.Deadline.IsZero() && ev.Deadline.Before(r.deadline) {
 		r.deadline = ev.Deadline
 	}
+	if s.refuseQuarantined(r) {
+		return
+	}
 	if r.deadline.Sub(s.now) <= answerMargin {
 		s.refuse(r, http.StatusRequestTimeout, ReasonExpired, 0)
 		return
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/quarantine"
 )
 
 // Effect is an action for the driver to carry out.
@@ -92,6 +93,14 @@
 // ReportLeaving reports that a target has said in a reply that it leaves.
 type ReportLeaving struct{ Announcement api.Announcement }
 
+// ReportCrash has control processes told that a target crashed while it ran a request, or
+// answered one.
+type ReportCrash struct{ Report quarantine.Report }
+
+// VerdictChanged reports that a verdict on a request that crashes targets is new, renewed
+// or lifted.
+type VerdictChanged struct{ Verdict quarantine.Verdict }
+
 // RateLimitChanged reports that a target has named a rate limit or another one, or names
 // none any more.
 type RateLimitChanged struct {
@@ -148,6 +157,8 @@
 	ReasonExpired     Reason = "deadline_passed"
 	ReasonFailed      Reason = "attempts_failed"
 	ReasonShutdown    Reason = "shutting_down"
+	// ReasonCrashes refuses a request that crashes the targets that run it.
+	ReasonCrashes Reason = "crashes_targets"
 )
 
 // Summary describes how a request was handled, for the log.
@@ -220,4 +231,6 @@
 func (HoldBack) effect()            {}
 func (ReportLeaving) effect()       {}
 func (RateLimitChanged) effect()    {}
+func (ReportCrash) effect()         {}
+func (VerdictChanged) effect()      {}
 func (ReachabilityChanged) effect() {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/quarantine"
 )
 
 // RequestID identifies a caller's request within one entry process.
@@ -43,8 +44,13 @@
 	Delay time.Duration
 	// Seed is a random number from which retry times get their jitter.
 	Seed uint64
+	// Fingerprint identifies the request's content.
+	Fingerprint quarantine.Fingerprint
 }
 
+// VerdictsReceived carries a control process's verdicts on requests that crash targets.
+type VerdictsReceived struct{ Verdicts []quarantine.Verdict }
+
 // CallerGone reports that the caller has closed its connection.
 type CallerGone struct{ Request RequestID }
 
@@ -142,6 +148,10 @@
 	Load   LoadReport
 	Demand Demand
 	Limit  RateLimit
+	// Lost reports that the connection ended without a complete reply, Refused that the
+	// target's address refused a new one.
+	Lost    bool
+	Refused bool
 	// ResetAfterDial reports that the target reset a newly opened connection, as one
 	// at its connection limit does.
 	ResetAfterDial bool
@@ -155,7 +165,11 @@
 	// Incarnation is that of the Probe effect.
 	Incarnation uint64
 	Healthy     bool
-	Demand      Demand
+	// Refused reports that the target's address refused the connection, Answered that it
+	// replied, healthy or not.
+	Refused  bool
+	Answered bool
+	Demand   Demand
 }
 
 // ShuttingDown answers all pending requests because the process is about to exit.
@@ -164,13 +178,14 @@
 // Tick sends the health checks that are due. The driver applies it periodically.
 type Tick struct{}
 
-func (TableInstalled) event() {}
-func (TargetChanged) event()  {}
-func (NodesChanged) event()   {}
-func (RequestArrived) event() {}
-func (CallerGone) event()     {}
-func (TimerFired) event()     {}
-func (AttemptEnded) event()   {}
-func (ProbeEnded) event()     {}
-func (ShuttingDown) event()   {}
-func (Tick) event()           {}
+func (TableInstalled) event()   {}
+func (TargetChanged) event()    {}
+func (NodesChanged) event()     {}
+func (RequestArrived) event()   {}
+func (VerdictsReceived) event() {}
+func (CallerGone) event()       {}
+func (TimerFired) event()       {}
+func (AttemptEnded) event()     {}
+func (ProbeEnded) event()       {}
+func (ShuttingDown) event()     {}
+func (Tick) event()             {}
--- a/internal/entry/forward/ratelimit_test.go
+++ b/internal/entry/forward/ratelimit_test.go
@@ -230,9 +230,10 @@
 // TestRateSharesAddUpToNoMoreThanTheLimit computes the shares of all nodes of a deployment.
 func TestRateSharesAddUpToNoMoreThanTheLimit(t *testing.T) {
 	for _, perDataCentre := range [][]int{{1}, {3, 1, 2}, {12, 12, 12, 12, 12, 12}, {49, 49, 49, 49, 49, 49}, {600, 600, 600}} {
+		nodes := newFleet(t, perDataCentre...).nodes
 		for _, limit := range []float64{0, 0.1, 0.5, 1, 7.3, 16, 28.9, 200, 5000} {
 			shares, bursts := 0.0, 0.0
-			for _, h := range newFleet(t, perDataCentre...).nodes {
+			for _, h := range nodes {
 				target := h.state.targets["t0"]
 				target.limit.limit = RateLimit{Known: true, Named: true, PerSecond: limit}
 				h.state.shareRateLimit(target)
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -41,6 +41,7 @@
 func (s *State) observeOutcome(a *attempt, ev AttemptEnded) {
 	t := a.target
 	s.observeRoundTrip(t, ev.Dialed)
+	s.observeLiveness(a, ev)
 	took := s.now.Sub(a.sent)
 	work := max(0, took-s.roundTrip(t)-ev.Dialed)
 	switch ev.Outcome {
@@ -89,6 +90,27 @@
 	}
 }
 
+// observeLiveness updates whether the attempt's target has crashed.
+func (s *State) observeLiveness(a *attempt, ev AttemptEnded) {
+	switch ev.Outcome {
+	case OutcomeSuccess, OutcomeFailure:
+		a.target.refuteCrash(a.sent)
+		s.observeAnswer(a.part.request)
+	case OutcomeNotRun:
+		a.target.refuteCrash(a.sent)
+	case OutcomeBroken:
+		if ev.Lost {
+			s.suspectCrash(a)
+		}
+	case OutcomeNotSent:
+		if ev.Refused {
+			s.confirmCrash(a.target)
+		}
+	case OutcomeWrongTarget:
+		s.confirmCrash(a.target)
+	}
+}
+
 const (
 	// unansweredCancelAge is the age above which a cancelled attempt counts as a
 	// failure of a target that has answered nothing since the send. It is longer than
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/quarantine"
 )
 
 // Options are the settings that stay fixed while the process runs.
@@ -36,6 +37,10 @@
 	// roundTrips holds the shortest round trip measured to each data centre.
 	roundTrips map[string]time.Duration
 
+	// quarantine holds the requests that crash targets, served those answered lately.
+	quarantine *quarantine.Set
+	served     quarantine.Served
+
 	lastAttempt AttemptID
 	effects     []Effect
 	counters    Counters
@@ -63,11 +68,15 @@
 
 // request is a caller's request, kept until its last attempt has ended.
 type request struct {
-	id       RequestID
-	route    *route
-	seed     uint64
-	arrived  time.Time
-	deadline time.Time
+	id RequestID
+	// fingerprint identifies the content. replied reports that a target has answered a
+	// part of the request.
+	fingerprint quarantine.Fingerprint
+	replied     bool
+	route       *route
+	seed        uint64
+	arrived     time.Time
+	deadline    time.Time
 	// callerDelay is the Delay of RequestArrived.
 	callerDelay time.Duration
 	// due is when the answer must leave to meet the route's goal, or the deadline
@@ -167,6 +176,7 @@
 		attempts:   map[AttemptID]*attempt{},
 		nodes:      map[string]int{options.DataCentre: 1},
 		roundTrips: map[string]time.Duration{},
+		quarantine: quarantine.NewSet(),
 	}
 }
 
@@ -210,6 +220,8 @@
 		s.updateNodes(ev.PerDataCentre, ev.Rank)
 	case RequestArrived:
 		s.handleArrival(ev)
+	case VerdictsReceived:
+		s.mergeVerdicts(ev.Verdicts)
 	case CallerGone:
 		s.callerGone(ev.Request)
 	case TimerFired:
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -93,6 +93,8 @@
 	// recovering is set with retryAt, until the target runs a request again.
 	recovering bool
 	limit      targetLimit
+	// suspicions are the requests that the target may have crashed on, oldest first.
+	suspicions []suspicion
 	// lastReply is when the target last answered a request.
 	lastReply time.Time
 
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -118,6 +118,7 @@
 
 // removeTarget removes a target. Its attempts in flight are not cancelled.
 func (s *State) removeTarget(t *target) {
+	s.confirmCrash(t)
 	t.announcement.State = api.TargetGone
 	delete(s.targets, t.id())
 	t.pool.remove(t)
@@ -205,10 +206,12 @@
 	}
 }
 
-// sendDueProbes sends the health checks of unreachable targets that are due.
+// sendDueProbes sends the health checks that are due, of unreachable targets and of those
+// that may have crashed.
 func (s *State) sendDueProbes() {
 	for _, t := range s.targets {
-		if !t.unreachable || t.probing || !t.acceptsWork() || s.now.Before(t.nextProbe) || s.now.Before(t.retryAt) {
+		due := t.unreachable && !s.now.Before(t.nextProbe) && !s.now.Before(t.retryAt) || t.needsCrashProbe(s.now)
+		if t.probing || !t.acceptsWork() || !due {
 			continue
 		}
 		t.probing = true
@@ -225,6 +228,14 @@
 		return
 	}
 	t.probing = false
+	switch {
+	case ev.Refused:
+		s.confirmCrash(t)
+	case ev.Answered:
+		t.suspicions = nil
+	default:
+		t.dropOldSuspicions(s.now)
+	}
 	s.applyDemand(t, ev.Demand)
 	if !t.unreachable {
 		return
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -172,10 +172,11 @@
 // of a new connection before the request was sent means that the target is at its
 // connection limit.
 func classifyError(err error) forward.AttemptEnded {
-	ended := forward.AttemptEnded{Outcome: forward.OutcomeBroken, Cause: errorCause(err)}
+	ended := forward.AttemptEnded{Outcome: forward.OutcomeBroken, Cause: errorCause(err), Lost: isLost(err)}
 	var poolErr *pool.Error
 	if errors.As(err, &poolErr) {
 		ended.Dialed = poolErr.Dialed
+		ended.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		ended.ResetAfterDial = poolErr.Dialed > 0 && errors.Is(err, syscall.ECONNRESET)
 		if poolErr.NotSent {
 			ended.Outcome = forward.OutcomeNotSent
@@ -197,6 +198,16 @@
 	return ended
 }
 
+// isLost reports whether an error is that of a connection that the other end has closed.
+func isLost(err error) bool {
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, lost) {
+			return true
+		}
+	}
+	return false
+}
+
 // errorCause describes an error without addresses, since the log names the target.
 func errorCause(err error) string {
 	var errno syscall.Errno
@@ -274,7 +285,9 @@
 		defer cancel()
 		request := "GET " + e.Path + " HTTP/1.1\r\nHost: " + e.Address + "\r\nConnection: close\r\n\r\n"
 		reply, err := n.pool.Probe(ctx, e.Address, http.MethodGet, []byte(request))
-		ended := forward.ProbeEnded{Target: e.Target, Incarnation: e.Incarnation}
+		ended := forward.ProbeEnded{
+			Target: e.Target, Incarnation: e.Incarnation, Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED),
+		}
 		if err == nil {
 			ended.Healthy = reply.Status == http.StatusOK
 			ended.Demand = n.demandOf("", reply)
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -57,6 +57,10 @@
 		n.holdBack(e)
 	case forward.ReportLeaving:
 		go n.reportLeaving(e) // it applies an event, which needs the lock held here
+	case forward.ReportCrash:
+		n.reportCrash(e)
+	case forward.VerdictChanged:
+		n.logVerdict(e)
 	case forward.RateLimitChanged:
 		n.logRateLimit(e)
 	case forward.ReachabilityChanged:
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -22,6 +22,7 @@
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/httpdrain"
+	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wait"
@@ -71,6 +72,7 @@
 	state        *forward.State
 	targets      *discovery.Targets
 	withdrawals  discovery.Withdrawals
+	crashReports quarantine.Reports
 	requests     map[forward.RequestID]*pendingRequest
 	timers       map[forward.RequestID]*time.Timer
 	replies      map[forward.AttemptID]*pool.Reply
@@ -131,6 +133,8 @@
 		Lacks:        n.missingTargets,
 		Checksum:     n.recordsChecksum,
 		Withdrawals:  n.withdrawalsSince,
+		CrashReports: n.crashReportsSince,
+		Verdicts:     n.verdicts,
 	})
 	return n
 }
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -87,6 +87,8 @@
 		Deadline: n.requestDeadline(r, arrived),
 		Delay:    callerDelay(r.Context()),
 		Seed:     rand.Uint64(),
+
+		Fingerprint: pending.fingerprint,
 	})
 	if !ok {
 		return
--- a/internal/entry/forwarder/watch.go
+++ b/internal/entry/forwarder/watch.go
@@ -24,6 +24,9 @@
 	for _, a := range reply.Targets {
 		n.mergeAnnouncement(a, address, reply.Revision)
 	}
+	if len(reply.Verdicts) > 0 {
+		n.stepLocked(forward.VerdictsReceived{Verdicts: reply.Verdicts})
+	}
 	n.updateNodeCounts(reply.EntryNodes, reply.EntryRank)
 	if table != nil && table.Version > n.state.TableVersion() {
 		n.stepLocked(forward.TableInstalled{Table: table})
