--- a/internal/entry/forward/crash.go
+++ b/internal/entry/forward/crash.go
@@ -62,8 +62,12 @@
 	}
 }
 
-// observeAnswer records that a target has run a request without crashing.
+// observeAnswer records that a target has run a request without crashing. The first of a
+// gather's answers is enough.
 func (s *State) observeAnswer(r *request) {
+	if r.replied {
+		return
+	}
 	r.replied = true
 	s.served.Add(r.fingerprint, s.now.UnixMilli())
 	if s.quarantine.Suspects(r.fingerprint) {
@@ -110,6 +114,17 @@
 	return len(t.suspicions) > 0 && now.Sub(t.suspicions[0].at) >= crashProbeDelay
 }
 
+// CountQuarantined returns the number of requests in quarantine at a time.
+func (s *State) CountQuarantined(now time.Time) int {
+	count := 0
+	for _, v := range s.quarantine.Verdicts() {
+		if v.InForce(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Verdicts returns the verdicts known to this node, and their checksum.
 func (s *State) Verdicts() ([]quarantine.Verdict, uint64) {
 	return s.quarantine.Verdicts(), s.quarantine.Checksum()
--- a/internal/entry/forwarder/crash.go
+++ b/internal/entry/forwarder/crash.go
@@ -23,9 +23,12 @@
 }
 
 func (n *Node) logVerdict(e forward.VerdictChanged) {
-	event := telemetry.ForwardRequestReleased
-	if e.Verdict.InForce(time.Now()) {
-		event = telemetry.ForwardRequestQuarantined
+	event := telemetry.ForwardRequestQuarantined
+	switch {
+	case e.Verdict.Lifted():
+		event = telemetry.ForwardRequestReleased
+	case !e.Verdict.InForce(time.Now()):
+		return
 	}
 	event.Log(n.logger,
 		zap.Stringer("fingerprint", e.Verdict.Request),
--- a/internal/entry/forwarder/metrics.go
+++ b/internal/entry/forwarder/metrics.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/telemetry"
 )
@@ -18,6 +20,7 @@
 	metricTableAge    = "wigeonbay_forward_table_confirmed_seconds_ago"
 	metricControls    = "wigeonbay_forward_controls_reached"
 	metricConnections = "wigeonbay_forward_connections"
+	metricQuarantined = "wigeonbay_forward_quarantined_requests"
 	metricTargetLimit = "wigeonbay_forward_target_limit_per_second"
 	metricLimitShare  = "wigeonbay_forward_target_limit_share_per_second"
 	metricLimitedSent = "wigeonbay_forward_limited_target_sends_total"
@@ -46,6 +49,7 @@
 		set(metricTableAge, age.Seconds())
 	}
 	set(metricControls, float64(n.watcher.CountReachable()))
+	set(metricQuarantined, float64(n.state.CountQuarantined(time.Now())))
 	for _, l := range n.state.LimitedTargets() {
 		set(telemetry.Series(metricTargetLimit, "target", string(l.Target)), l.Limit.PerSecond)
 		set(telemetry.Series(metricLimitShare, "target", string(l.Target)), l.Share)
--- a/internal/entry/forwarder/readiness.go
+++ b/internal/entry/forwarder/readiness.go
@@ -27,7 +27,9 @@
 	ready        bool
 	tableVersion uint64
 	nodes        nodeCounts
-	ranks        nodeCounts
+	// ranks holds this node's rank under the name of its data centre. A lower one takes
+	// effect as late as a lower count.
+	ranks nodeCounts
 	// confirmedAt is when a current control process last had no newer routing table.
 	confirmedAt time.Time
 }
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -52,9 +53,12 @@
 
 // InForce reports whether the request is in quarantine at a time.
 func (v Verdict) InForce(now time.Time) bool {
-	return v.LastCrashMS > v.SurvivedMS && now.Before(v.Until())
+	return !v.Lifted() && now.Before(v.Until())
 }
 
+// Lifted reports whether a target has answered the request since its last crash.
+func (v Verdict) Lifted() bool { return v.SurvivedMS >= v.LastCrashMS }
+
 // Until returns when the quarantine ends unless the verdict is lifted before.
 func (v Verdict) Until() time.Time { return time.UnixMilli(v.LastCrashMS).Add(Duration) }
 
@@ -62,9 +66,9 @@
 // processes: merging them in any order and any number of times gives the same result. It is
 // not safe for concurrent use.
 type Set struct {
-	crashes  map[Fingerprint]*history
-	verdicts map[Fingerprint]Verdict
-	checksum uint64
+	histories map[Fingerprint]*history
+	verdicts  map[Fingerprint]Verdict
+	checksum  uint64
 }
 
 // history holds the crashes of a request since a target last answered it.
@@ -85,7 +89,7 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{crashes: map[Fingerprint]*history{}, verdicts: map[Fingerprint]Verdict{}}
+	return &Set{histories: map[Fingerprint]*history{}, verdicts: map[Fingerprint]Verdict{}}
 }
 
 // Add adds a report. It returns the verdict on the request if the report changes it.
@@ -94,10 +98,11 @@
 	if r.AtMS < now.Add(-memory).UnixMilli() || r.AtMS > now.Add(memory).UnixMilli() {
 		return Verdict{}, false
 	}
-	h := s.crashes[r.Request]
+	h := s.histories[r.Request]
 	if h == nil {
 		h = &history{crashes: map[incarnation]run{}}
-		s.crashes[r.Request] = h
+		s.histories[r.Request] = h
+		s.dropOldestHistory(r.Request)
 	}
 	h.newestMS = max(h.newestMS, r.AtMS)
 	verdict, judged := s.verdicts[r.Request]
@@ -198,23 +203,29 @@
 	return sum.Sum64()
 }
 
-// expire drops what is older than memory, and the requests whose newest report is the
-// oldest if there are too many.
+// dropOldestHistory drops the request whose newest report is the oldest, other than the
+// given one, if there are too many.
+func (s *Set) dropOldestHistory(keep Fingerprint) {
+	if len(s.histories) <= maxRequests {
+		return
+	}
+	var oldest Fingerprint
+	oldestMS := int64(math.MaxInt64)
+	for request, h := range s.histories {
+		if request != keep && h.newestMS < oldestMS {
+			oldest, oldestMS = request, h.newestMS
+		}
+	}
+	delete(s.histories, oldest)
+}
+
+// expire drops what is older than memory.
 func (s *Set) expire(now time.Time) {
 	oldestMS := now.Add(-memory).UnixMilli()
-	for request, h := range s.crashes {
+	for request, h := range s.histories {
 		if h.newestMS < oldestMS {
-			delete(s.crashes, request)
-		}
-	}
-	for len(s.crashes) >= maxRequests {
-		oldest, newestMS := Fingerprint{}, int64(0)
-		for request, h := range s.crashes {
-			if newestMS == 0 || h.newestMS < newestMS {
-				oldest, newestMS = request, h.newestMS
-			}
+			delete(s.histories, request)
 		}
-		delete(s.crashes, oldest)
 	}
 	for request, v := range s.verdicts {
 		if v.LastCrashMS < oldestMS {
@@ -225,7 +236,7 @@
 
 // Suspects reports whether the set holds a crash of a request or a verdict on it.
 func (s *Set) Suspects(request Fingerprint) bool {
-	h := s.crashes[request]
+	h := s.histories[request]
 	_, judged := s.verdicts[request]
 	return judged || h != nil && len(h.crashes) > 0
 }
--- a/internal/quarantine/set_test.go
+++ b/internal/quarantine/set_test.go
@@ -77,7 +77,7 @@
 	assert.Assert(t, !addAll(s, later))
 	assert.Assert(t, addAll(s, later, crash("d", Duration+4*time.Second)))
 	s.expire(later.Add(2 * memory))
-	assert.Equal(t, len(s.verdicts)+len(s.crashes), 0)
+	assert.Equal(t, len(s.verdicts)+len(s.histories), 0)
 	assert.Equal(t, s.Checksum(), uint64(0))
 }
 
@@ -124,7 +124,7 @@
 		reports.Add(report)
 		served.Add(fingerprint, now.UnixMilli())
 	}
-	assert.Assert(t, len(s.crashes) <= maxRequests)
+	assert.Assert(t, len(s.histories) <= maxRequests)
 	assert.Assert(t, len(s.verdicts) <= maxRequests)
 	assert.Equal(t, len(reports.list), maxReports)
 	assert.Assert(t, len(served.atMS) <= recentlyServed)
