--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -73,7 +73,10 @@
 		wait := t.demandedUntil().Sub(s.now)
 		if t.unreachable {
 			wait = max(minProbeInterval, t.nextProbe.Sub(s.now), wait)
-		} else if room += s.roomInTime(r, t); room > len(p.waiting) {
+		} else {
+			room += s.roomInTime(r, t)
+		}
+		if room > len(p.waiting) {
 			return 0
 		}
 		if !known || wait < soonest {
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -121,7 +121,8 @@
 	if known, reported := h.crashes[key]; !reported || r.AtMS < known.crashedMS {
 		h.crashes[key] = run{r.SentMS, r.AtMS}
 	}
-	if !judged && h.countCrashes() < maxCrashes || r.AtMS <= verdict.LastCrashMS {
+	condemned := judged && !verdict.Lifted()
+	if !condemned && h.countCrashes() < maxCrashes || r.AtMS <= verdict.LastCrashMS {
 		return Verdict{}, false
 	}
 	verdict.Request, verdict.LastCrashMS = r.Request, r.AtMS
@@ -234,11 +235,12 @@
 	}
 }
 
-// Suspects reports whether the set holds a crash of a request or a verdict on it.
+// Suspects reports whether the set holds a crash of a request that no target has answered
+// since, or a verdict on it that isn't lifted.
 func (s *Set) Suspects(request Fingerprint) bool {
 	h := s.histories[request]
-	_, judged := s.verdicts[request]
-	return judged || h != nil && len(h.crashes) > 0
+	verdict, judged := s.verdicts[request]
+	return judged && !verdict.Lifted() || h != nil && len(h.crashes) > 0
 }
 
 // Verdict returns the verdict on a request; ok is false if there is none.
--- a/internal/quarantine/set_test.go
+++ b/internal/quarantine/set_test.go
@@ -61,6 +61,13 @@
 		{"answered between", []Report{crash("a", 0), crash("b", second), survival(1500 * time.Millisecond), crash("c", 2*second)}, false},
 		{"answered before", []Report{survival(0), crash("a", second), crash("b", 2*second), crash("c", 3*second)}, true},
 		{"answered after", []Report{crash("a", 0), crash("b", second), crash("c", 2*second), survival(3 * second)}, false},
+		{"answered after, and one crash more", []Report{
+			crash("a", 0), crash("b", second), crash("c", 2*second), survival(3 * second), crash("d", 4*second),
+		}, false},
+		{"answered after, and three crashes more", []Report{
+			crash("a", 0), crash("b", second), crash("c", 2*second), survival(2500 * time.Millisecond),
+			crash("d", 3*second), crash("e", 4*second), crash("f", 5*second),
+		}, true},
 		{"late report from before an answer", []Report{crash("a", 0), survival(3 * second), crash("b", second), crash("c", 2*second)}, false},
 	}
 	for _, tc := range cases {
@@ -81,6 +88,20 @@
 	assert.Equal(t, s.Checksum(), uint64(0))
 }
 
+// TestLiftedVerdictIsNotSuspicious keeps the answers to a request whose verdict was lifted
+// from being reported each time.
+func TestLiftedVerdictIsNotSuspicious(t *testing.T) {
+	s := NewSet()
+	now := start.Add(5 * time.Second)
+	assert.Assert(t, !s.Suspects(request))
+	addAll(s, now, crash("a", 0))
+	assert.Assert(t, s.Suspects(request))
+	addAll(s, now, crash("b", time.Second), crash("c", 2*time.Second))
+	assert.Assert(t, s.Suspects(request))
+	addAll(s, now, survival(3*time.Second))
+	assert.Assert(t, !s.Suspects(request))
+}
+
 // TestVerdictsConverge exchanges verdicts between sets in random order, some of them twice.
 func TestVerdictsConverge(t *testing.T) {
 	random := rand.New(rand.NewPCG(24, 2))
