--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -69,9 +69,6 @@
 		if p.phase == partWaiting {
 			s.sendWaiting(p.pool) // a target may accept connections again
 		}
-		if p.phase == partWaiting && !s.now.Before(r.due) {
-			s.dropHopelessWaiting(p.pool)
-		}
 	}
 	if r.done {
 		return
