--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -71,8 +71,8 @@
 	mu           sync.Mutex
 	state        *forward.State
 	targets      *discovery.Targets
-	withdrawals  discovery.Withdrawals
-	crashReports quarantine.Reports
+	withdrawals  discovery.ReportLog[api.Announcement]
+	crashReports discovery.ReportLog[quarantine.Report]
 	requests     map[forward.RequestID]*pendingRequest
 	timers       map[forward.RequestID]*time.Timer
 	replies      map[forward.AttemptID]*pool.Reply
