--- a/internal/entry/forward/ratelimit_test.go
+++ b/internal/entry/forward/ratelimit_test.go
@@ -162,9 +162,6 @@
 	}
 }
 
-// TestLimitedTargetGetsNoMoreThanItNames guards against targets that get more from all
-// nodes together than the rate limit that they name.
-//
 // fault: overload x forward
 func TestLimitedTargetGetsNoMoreThanItNames(t *testing.T) {
 	cases := []struct {
