--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // start serves a handler that answers "ok" after a delay, with "Connection: close" once
@@ -49,6 +50,20 @@
 	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
 }
 
+// awaitAccepted waits until the server has accepted a number of connections. Those that
+// only the kernel has accepted are reset when the listener is closed.
+func awaitAccepted(t *testing.T, s *Server, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.connections) < want {
+			return poll.Continue("%d of %d connections accepted", len(s.connections), want)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
 const head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 func (c *caller) send(t *testing.T, text string) {
@@ -105,7 +120,7 @@
 	var closing atomic.Bool
 	s, address := start(t, 0, &closing)
 	c := connect(t, address)
-	time.Sleep(20 * time.Millisecond) // the server accepts it
+	awaitAccepted(t, s, 1)
 	closing.Store(true)
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Shutdown(context.Background()) }()
@@ -154,10 +169,12 @@
 		var closing atomic.Bool
 		s, address := start(t, time.Millisecond, &closing)
 		var callers sync.WaitGroup
-		for range 30 {
+		const connections = 30
+		for range connections {
 			c := connect(t, address)
 			callers.Go(func() { c.repeat(t) })
 		}
+		awaitAccepted(t, s, connections)
 		time.Sleep(20 * time.Millisecond)
 		closing.Store(true)
 		assert.NilError(t, s.Shutdown(context.Background()))
