--- a/internal/entry/forward/crash.go
+++ b/internal/entry/forward/crash.go
@@ -7,8 +7,8 @@
 	"wigeonbay/internal/quarantine"
 )
 
-// A request may crash every target that runs it, and its caller sends it again. It answers
-// that load by a quarantine: the nodes report which requests a target was running when it
+// A request may crash every target that runs it, and its caller sends it again. The
+// quarantine answers that load: nodes report which requests a target was running when it
 // crashed, and a request with several crashes and no answer is refused at all nodes.
 
 const (
