--- a/internal/entry/forward/ratelimit.go
+++ b/internal/entry/forward/ratelimit.go
@@ -13,10 +13,10 @@
 
 // A target may name in its replies how many requests per second it takes from all nodes
 // together. Nodes don't tell each other what they send, so each keeps to a share of its
-// own, and the shares and bursts of all nodes add up to what the target takes. The load
-// answered is that of searchers that have lost part of their capacity: requests beyond
-// their limits go to other targets of the pool or, where there are none, are refused at
-// once.
+// own: the shares of all nodes add up to less than the limit, and few enough nodes have one
+// that a burst of all of them is bounded by it too. The load answered is that of searchers
+// that have lost part of their capacity: requests beyond their limits go to other targets
+// of the pool or, where there are none, are refused at once.
 
 const (
 	// limitFraction is the fraction of a limit that the nodes share. The rest is for nodes
