Log and measure that no target answers an entry node

A node that is cut off from all targets logged each target as unreachable, like one whose targets are down; nothing told the two apart. Events 1321 and 1322 and the metrics forward_isolated and forward_target_replied_seconds_ago say that none of several targets has answered for half a second, and for how long. No decision uses it yet.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -33,6 +33,7 @@
 // handleArrival admits a new request, or keeps it until there is a routing table.
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
+	s.checkIsolation()
 	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint}
 	switch {
 	case s.routes != nil:
@@ -240,6 +241,7 @@
 	p.outstanding = append(p.outstanding, a)
 	t.outstanding = append(t.outstanding, a)
 	t.limit.recordSend(s.now)
+	s.recordUnanswered(t, a.expectedWork)
 	r.sends = append(r.sends, a)
 	s.counters.Sends++
 	s.emit(Send{Request: r.id, Attempt: a.id, Target: t.id(), Deadline: r.deadline.Add(-answerMargin / 2), VerifyConnection: s.mustVerifyConnection(r)})
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -114,6 +114,13 @@
 	For  time.Duration
 }
 
+// IsolationChanged reports that no target answers this node, or that one does again.
+// SinceReply is the time since a target last replied before.
+type IsolationChanged struct {
+	Isolated   bool
+	SinceReply time.Duration
+}
+
 // Probe sends a health check to a target.
 type Probe struct {
 	Target      api.TargetID
@@ -234,3 +241,4 @@
 func (ReportCrash) effect()         {}
 func (VerdictChanged) effect()      {}
 func (ReachabilityChanged) effect() {}
+func (IsolationChanged) effect()    {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -107,6 +107,11 @@
 	return o == OutcomeNotSent || o == OutcomeHeldBack || o == OutcomeNoRoom
 }
 
+// Replied reports whether a target has sent a complete reply.
+func (o Outcome) Replied() bool {
+	return o == OutcomeSuccess || o == OutcomeFailure || o == OutcomeNotRun || o == OutcomeWrongTarget
+}
+
 // LoadReport is the load that a target reports with a reply. Known is false if the
 // reply carried no readable report.
 type LoadReport struct {
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -40,6 +40,9 @@
 // observeOutcome updates what is known about the attempt's target and route.
 func (s *State) observeOutcome(a *attempt, ev AttemptEnded) {
 	t := a.target
+	if ev.Outcome.Replied() {
+		s.recordReply()
+	}
 	s.observeRoundTrip(t, ev.Dialed)
 	s.observeLiveness(a, ev)
 	took := s.now.Sub(a.sent)
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -41,6 +41,8 @@
 	quarantine *quarantine.Set
 	served     quarantine.Served
 
+	isolation isolation
+
 	lastAttempt AttemptID
 	effects     []Effect
 	counters    Counters
@@ -177,6 +179,7 @@
 		nodes:      map[string]int{options.DataCentre: 1},
 		roundTrips: map[string]time.Duration{},
 		quarantine: quarantine.NewSet(),
+		isolation:  isolation{period: 1},
 	}
 }
 
@@ -208,7 +211,7 @@
 func (s *State) Reduce(now time.Time, ev Event) []Effect {
 	s.now = now
 	if s.started.IsZero() {
-		s.started = now
+		s.started, s.isolation.lastReply = now, now
 	}
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
@@ -233,6 +236,7 @@
 	case ShuttingDown:
 		s.endAllRequests()
 	case Tick:
+		s.checkIsolation()
 		s.sendDueProbes()
 	default:
 		panic(fmt.Sprintf("forward: event of unknown type %T", ev))
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -97,6 +97,9 @@
 	suspicions []suspicion
 	// lastReply is when the target last answered a request.
 	lastReply time.Time
+	// unansweredIn is the last period of the node's isolation in which the target was
+	// sent a request.
+	unansweredIn uint64
 
 	failures      int
 	unreachable   bool
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -228,6 +228,9 @@
 		return
 	}
 	t.probing = false
+	if ev.Answered {
+		s.recordReply()
+	}
 	switch {
 	case ev.Refused:
 		s.confirmCrash(t)
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -65,6 +65,8 @@
 		n.logRateLimit(e)
 	case forward.ReachabilityChanged:
 		n.logReachability(e)
+	case forward.IsolationChanged:
+		n.logIsolation(e)
 	default:
 		panic(fmt.Sprintf("forwarder: effect of unknown type %T", effect))
 	}
--- /dev/null
+++ b/internal/entry/forwarder/isolation.go
@@ -0,0 +1,16 @@
+package forwarder
+
+import (
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/telemetry"
+)
+
+func (n *Node) logIsolation(e forward.IsolationChanged) {
+	event := telemetry.ForwardNoTargetAnswers
+	if !e.Isolated {
+		event = telemetry.ForwardTargetsAnswer
+	}
+	event.Log(n.logger, zap.Duration("since_reply", e.SinceReply))
+}
--- a/internal/entry/forwarder/metrics.go
+++ b/internal/entry/forwarder/metrics.go
@@ -24,6 +24,8 @@
 	metricTargetLimit = "wigeonbay_forward_target_limit_per_second"
 	metricLimitShare  = "wigeonbay_forward_target_limit_share_per_second"
 	metricLimitedSent = "wigeonbay_forward_limited_target_sends_total"
+	metricIsolated    = "wigeonbay_forward_isolated"
+	metricLastReply   = "wigeonbay_forward_target_replied_seconds_ago"
 )
 
 // recordMetrics records the metrics of a finished request. The caller holds mu.
@@ -50,6 +52,13 @@
 	}
 	set(metricControls, float64(n.watcher.CountReachable()))
 	set(metricQuarantined, float64(n.state.CountQuarantined(time.Now())))
+	set(metricIsolated, 0)
+	if n.state.Isolated() {
+		set(metricIsolated, 1)
+	}
+	if last := n.state.LastReply(); !last.IsZero() {
+		set(metricLastReply, time.Since(last).Seconds())
+	}
 	for _, l := range n.state.LimitedTargets() {
 		set(telemetry.Series(metricTargetLimit, "target", string(l.Target)), l.Limit.PerSecond)
 		set(telemetry.Series(metricLimitShare, "target", string(l.Target)), l.Share)
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -37,6 +37,8 @@
 	ForwardRequestCrashedTarget    = Event{1318, zapcore.WarnLevel, "target crashed while it ran a request", "The connection to the target was lost while it ran the request, and its address refuses connections or belongs to another start. The control processes are told. Other requests that it was running are logged as well; those that don't cause crashes are answered when they are sent again."}
 	ForwardRequestQuarantined      = Event{1319, zapcore.ErrorLevel, "request in quarantine", "Three crashes of targets happened while they ran the request with this fingerprint, and none has answered it since. All entry nodes refuse it with 503 (reason crashes_targets) until the given time. Event 1312 of the earlier attempts has its URI; the fault is in the searcher."}
 	ForwardRequestReleased         = Event{1320, zapcore.InfoLevel, "request out of quarantine", "A target has answered the request since the last crash, so it is served again."}
+	ForwardNoTargetAnswers         = Event{1321, zapcore.WarnLevel, "no target answers", "Several targets have left requests of this node unanswered and no other one has replied since. The fault is on the node's side if other nodes don't log this at the same time. The field since_reply is the time since the last reply."}
+	ForwardTargetsAnswer           = Event{1322, zapcore.InfoLevel, "targets answer again", "A target has replied to a request or a health check. The field since_reply is how long none did."}
 	ForwardHeaderMalformed         = Event{1313, zapcore.WarnLevel, "malformed header", "A header of a caller or a target could not be parsed and is ignored. Without a deadline the timeout of the route applies; without a load report the node estimates the target's load from its own requests to it."}
 )
 
@@ -48,5 +50,5 @@
 	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
 	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
 	ForwardTargetLeaving, ForwardTargetLimited, ForwardTargetLimitLifted,
-	ForwardRequestCrashedTarget, ForwardRequestQuarantined, ForwardRequestReleased,
+	ForwardRequestCrashedTarget, ForwardRequestQuarantined, ForwardRequestReleased, ForwardNoTargetAnswers, ForwardTargetsAnswer,
 }
