Failing test: nodes that are cut off from all targets answer nothing

Three control processes and three entry nodes run as processes; two of the nodes are cut off from all searchers. From four seconds on they serve 0 of 300 requests of three kinds (gather, idempotent, not idempotent) where connections hang or are reset, the third node 150 of 150. Where open connections live on and only new ones are refused, the test passes.

The cut file of failure tests now applies to an entry node's connections to targets too, and knows cuts that refuse only new connections.

--- a/cmd/wigeon-entry/forwarding.go
+++ b/cmd/wigeon-entry/forwarding.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/entry/forwarder"
+	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wire"
@@ -29,9 +30,19 @@
 		DecodeTable: platform.DecodeTable,
 		Metrics:     metrics,
 		Dial:        security.DialWithCuts(config.Testing.CutFile),
+		DialTargets: dialTargets(config.Testing.CutFile),
 	})
 }
 
+// dialTargets returns the function that opens connections to targets, nil for the usual
+// one. It injects the failures that a file lists unless its name is empty.
+func dialTargets(cutFile string) pool.Dial {
+	if cutFile == "" {
+		return nil
+	}
+	return pool.Dial(wire.CutDialer(pool.DialTCP, wire.CutFile(cutFile)))
+}
+
 // registerForwarding registers the node's start and stop hooks and publishes its
 // counters after the start.
 func registerForwarding(lifecycle fx.Lifecycle, node *forwarder.Node) {
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -58,6 +58,8 @@
 	Metrics *telemetry.Metrics
 	// Dial opens connections to control processes; nil means plain TCP.
 	Dial wire.DialFunc
+	// DialTargets opens connections to targets; nil means plain TCP.
+	DialTargets pool.Dial
 }
 
 // Node forwards callers' requests to targets.
@@ -110,7 +112,7 @@
 				Window: cfg.Settings.Forward.ExtraWindow,
 			},
 		}),
-		pool:     pool.New(nil, pool.WithoutIdleChecks()),
+		pool:     pool.New(cfg.DialTargets, pool.WithoutIdleChecks()),
 		targets:  discovery.NewTargets(),
 		requests: map[forward.RequestID]*pendingRequest{},
 		timers:   map[forward.RequestID]*time.Timer{},
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -48,6 +48,12 @@
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
+// DialTCP opens a plain TCP connection with keep-alive probes.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcpKeepAlive}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Reply is a target's complete reply.
 type Reply struct {
 	Status int
@@ -113,10 +119,7 @@
 		opt(&config)
 	}
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcpKeepAlive}
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		dial = DialTCP
 	}
 	p := &Pool{dial: dial, targets: map[api.TargetID]*target{}, stopped: make(chan struct{})}
 	p.replyMemory.free.Store(maxReplyMemory)
--- a/internal/tools/faultmatrix/matrix.go
+++ b/internal/tools/faultmatrix/matrix.go
@@ -18,6 +18,7 @@
 	{"cut-one-way", "cut one way"},
 	{"cut-data-centre", "cut of one data centre"},
 	{"control-alone", "control VM alone for long"},
+	{"cut-from-targets", "node cut off from all targets"},
 	{"silent-connection", "silent connection"},
 	{"delayed-replies", "delayed and reordered replies"},
 	{"operators-racing", "operators racing"},
--- a/internal/wire/cut.go
+++ b/internal/wire/cut.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	// CutSilentOld makes existing connections silent as CutSilent does, but
 	// doesn't affect new ones.
 	CutSilentOld Cut = "silent-old"
+	// CutRefuseNew fails dials and doesn't affect existing connections.
+	CutRefuseNew Cut = "refuse-new"
 )
 
 // CutFunc returns the Cut that currently applies to an address. It must be safe for
@@ -36,7 +40,7 @@
 // cutPollInterval is the interval at which existing connections check for a cut.
 const cutPollInterval = 20 * time.Millisecond
 
-var errCut = errors.New("connection refused by an injected failure")
+var errCut = fmt.Errorf("injected failure: %w", syscall.ECONNREFUSED)
 
 // CutDialer wraps dial and injects the failures that cut returns. It is meant for
 // failure tests; the processes use it only if their settings name a file of cuts. It
@@ -48,7 +52,7 @@
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		switch cut(address) {
-		case CutRefuse:
+		case CutRefuse, CutRefuseNew:
 			return nil, errCut
 		case CutSilent:
 			<-ctx.Done()
