--- a/cmd/wigeon-entry/forwarding.go
+++ b/cmd/wigeon-entry/forwarding.go
@@ -31,6 +31,7 @@
 		Metrics:     metrics,
 		Dial:        security.DialWithCuts(config.Testing.CutFile),
 		DialTargets: dialTargets(config.Testing.CutFile),
+		WrapPeers:   security.Wrap,
 	})
 }
 
--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -39,6 +39,9 @@
 	if reply.VerdictsChecksum = d.quarantine.Checksum(); args.Kind == discovery.WatcherEntry && reply.VerdictsChecksum != args.VerdictsChecksum {
 		reply.Verdicts = d.quarantine.Verdicts()
 	}
+	if args.WantPeers {
+		reply.EntryPeers = d.watchers.PeersOf(time.Now(), args.Node, args.DataCentre)
+	}
 	nodes := d.watchers.EntryNodes(time.Now())
 	reply.PeersChecksum = checksumPeers(controls, nodes)
 	if args.PeersChecksum != reply.PeersChecksum || args.Epoch != d.epoch {
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -94,6 +94,10 @@
 	CrashReports     []quarantine.Report
 	VerdictsChecksum uint64
 	Verdicts         []quarantine.Verdict
+	// PeerAddress is the address at which an entry node takes requests from other entry
+	// nodes, empty while it takes none. WantPeers requests EntryPeers.
+	PeerAddress string
+	WantPeers   bool
 	// WaitMS is how long the call may be held until there is a change, in
 	// milliseconds.
 	WaitMS int64
@@ -138,6 +142,8 @@
 	// EntryRank is the rank of an entry node that watches among those of its data centre,
 	// sorted by name, from 0.
 	EntryRank int
+	// EntryPeers are entry nodes that the watcher may pass requests on to, if it wants them.
+	EntryPeers []discovery.EntryPeer
 	// VerdictsChecksum is the checksum of the verdicts on requests that crash targets,
 	// Verdicts all of them if the watcher's checksum is another one.
 	VerdictsChecksum uint64
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -44,6 +44,9 @@
 	// seconds, so they must reconnect well within that time.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// peersWait replaces pollWait for polls of a watcher that needs peers now: those that
+	// it can use change.
+	peersWait = 250 * time.Millisecond
 	// forgetAfter is how long a control process is polled in spite of failed polls
 	// after a reply or the settings last listed it. After that, the next failed poll
 	// ends the polling.
@@ -88,6 +91,19 @@
 	// Both are nil for a watcher that forwards no requests.
 	CrashReports func(number uint64) (reports []quarantine.Report, last uint64)
 	Verdicts     func() (verdicts []quarantine.Verdict, checksum uint64)
+	// Peering returns what concerns requests that entry nodes pass on to each other. Nil for
+	// a watcher that forwards no requests.
+	Peering func() Peering
+}
+
+// Peering is an entry node's part in passing requests on.
+type Peering struct {
+	// Address is the address at which the node takes requests from others, "" for none.
+	Address string
+	// WantsPeers reports that the node wants to know peers, Urgent that it needs them now,
+	// from each control process.
+	WantsPeers bool
+	Urgent     bool
 }
 
 // Watcher polls control processes. It is safe for concurrent use.
@@ -256,11 +272,19 @@
 		args.Withdrawals, withdrawalsSent = w.cfg.Withdrawals(p.withdrawalsSent, p.restarted)
 	}
 	crashReportsSent := w.addCrashes(p, args)
+	var peering Peering
+	if w.cfg.Peering != nil {
+		peering = w.cfg.Peering()
+	}
+	args.PeerAddress, args.WantPeers = peering.Address, peering.Urgent || peering.WantsPeers && !args.Aside
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
 	case p.reachable && !args.WantOffers:
 		args.WaitMS = pollWait.Milliseconds()
+		if peering.Urgent {
+			args.WaitMS = peersWait.Milliseconds()
+		}
 	}
 	var reply controlrpc.WatchReply
 	err := w.cfg.Client.Call(ctx, address, controlrpc.MethodWatch, args, &reply)
--- a/internal/discovery/watchers.go
+++ b/internal/discovery/watchers.go
@@ -25,6 +25,9 @@
 	dataCentre string
 	revision   uint64
 	lastPoll   time.Time
+	// peerAddress is the address at which an entry node takes requests from others, ""
+	// if it takes none.
+	peerAddress string
 }
 
 // NewWatchers returns an empty set. A watcher that has not polled for longer than
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -34,7 +34,14 @@
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
 	s.checkIsolation()
-	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint}
+	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint, delegated: ev.Delegated}
+	if ev.Delegated != nil {
+		s.counters.Taken++
+		if reason := s.rejectDelegated(ev.Delegated); reason != "" {
+			s.refuse(r, http.StatusServiceUnavailable, reason, s.addJitter(r, minRetryAfter))
+			return
+		}
+	}
 	switch {
 	case s.routes != nil:
 		s.admit(r, ev)
@@ -64,9 +71,25 @@
 		return
 	}
 	if !ev.Deadline.IsZero() {
-		r.returning = r.route.stats.isReturning(ev.Deadline.Sub(r.arrived))
+		left := ev.Deadline.Sub(r.arrived)
+		if ev.Delegated != nil {
+			left += ev.Delegated.Age
+		}
+		r.returning = r.route.stats.isReturning(left)
 	}
 	s.makeParts(r)
+	if s.needsPeer(r) && s.delegate(r) {
+		return
+	}
+	if s.isolation.isolated && len(s.peers) > 0 {
+		s.refuseIsolated(r)
+		return
+	}
+	s.admitHere(r)
+}
+
+// admitHere dispatches the parts of a request to this node's targets, or refuses it.
+func (s *State) admitHere(r *request) {
 	if s.neededAvailableIn(r) > 0 {
 		r.returning = r.returning || s.mayReturnAfterStart(r)
 	}
@@ -80,7 +103,7 @@
 	}
 	s.requests[r.id] = r
 	for _, p := range r.parts {
-		if r.done {
+		if r.done || r.handedOver {
 			return
 		}
 		s.dispatch(p)
@@ -103,9 +126,15 @@
 		r.parts[i] = &parts[i]
 	}
 	r.pending = len(r.parts)
+	r.attempts = max(1, r.route.config.Attempts)
+	arrived := r.arrived
+	if d := r.delegated; d != nil {
+		r.attempts = max(1, min(r.attempts, d.Attempts))
+		arrived = arrived.Add(-d.Age)
+	}
 	r.due = r.deadline
 	if goal := r.route.config.Goal; goal > 0 {
-		r.due = earlier(r.deadline, r.arrived.Add(goal-goalMargin(goal, r.callerDelay+answerTime+time.Duration(len(pools))*partTime)))
+		r.due = earlier(r.deadline, arrived.Add(goal-goalMargin(goal, r.callerDelay+answerTime+time.Duration(len(pools))*partTime)))
 	}
 }
 
@@ -232,7 +261,9 @@
 	s.attempts[a.id] = a
 	if !p.counted {
 		p.counted = true
-		p.pool.budget.recordInitial(s.options.Budget, s.now)
+		if r.delegated == nil || !r.delegated.Repeated {
+			p.pool.budget.recordInitial(s.options.Budget, s.now)
+		}
 	}
 	p.sends++
 	p.runs++
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -45,6 +45,33 @@
 	Summary Summary
 }
 
+// Delegate passes a request on to a peer.
+type Delegate struct {
+	Request    RequestID
+	Delegation DelegationID
+	Peer       Peer
+	// Deadline is that for the peer's response.
+	Deadline time.Time
+	// TableVersion, Attempts, Repeated and Age are as in Delegated, Delay as in
+	// RequestArrived.
+	TableVersion uint64
+	Attempts     int
+	Repeated     bool
+	Age          time.Duration
+	Delay        time.Duration
+}
+
+// CancelDelegation ends a delegation whose response nobody waits for.
+type CancelDelegation struct{ Delegation DelegationID }
+
+// PassOn answers a request with the response of a delegation.
+type PassOn struct {
+	Request    RequestID
+	Delegation DelegationID
+	Status     int
+	Summary    Summary
+}
+
 // Refuse answers a request with an error status set by this node.
 type Refuse struct {
 	Request RequestID
@@ -121,6 +148,13 @@
 	SinceReply time.Duration
 }
 
+// ImpairmentChanged reports that this node can't reach most targets, or that it can again.
+type ImpairmentChanged struct {
+	Impaired    bool
+	Unreachable int
+	Targets     int
+}
+
 // Probe sends a health check to a target.
 type Probe struct {
 	Target      api.TargetID
@@ -166,6 +200,11 @@
 	ReasonShutdown    Reason = "shutting_down"
 	// ReasonCrashes refuses a request that crashes the targets that run it.
 	ReasonCrashes Reason = "crashes_targets"
+	// ReasonIsolated refuses requests because the node doesn't reach the targets, and no
+	// peer could be asked. ReasonOtherTable refuses requests that peers pass on because
+	// the routing tables of the two nodes differ.
+	ReasonIsolated   Reason = "isolated"
+	ReasonOtherTable Reason = "other_routing_table"
 )
 
 // Summary describes how a request was handled, for the log.
@@ -191,6 +230,8 @@
 	Hedges int
 	// NoHedge is the reason why a hedge was last held back, empty if none was.
 	NoHedge NoHedge
+	// Peers describes how peers were asked.
+	Peers []PeerRecord
 }
 
 // NoHedge is the reason why a late part was not hedged.
@@ -218,6 +259,16 @@
 	Hedge  bool
 }
 
+// PeerRecord describes one delegation of a request, with times as in SendRecord.
+type PeerRecord struct {
+	Node    string
+	After   time.Duration
+	Took    time.Duration
+	Outcome string
+	// Reason is that of a refusal.
+	Reason Reason
+}
+
 // ImmediateSuccess reports whether the attempt was sent when its request arrived, not
 // as a hedge, and succeeded.
 func (r *SendRecord) ImmediateSuccess() bool {
@@ -229,6 +280,9 @@
 func (Discard) effect()             {}
 func (Relay) effect()               {}
 func (Merge) effect()               {}
+func (Delegate) effect()            {}
+func (CancelDelegation) effect()    {}
+func (PassOn) effect()              {}
 func (Refuse) effect()              {}
 func (Abandon) effect()             {}
 func (SetTimer) effect()            {}
@@ -242,3 +296,4 @@
 func (VerdictChanged) effect()      {}
 func (ReachabilityChanged) effect() {}
 func (IsolationChanged) effect()    {}
+func (ImpairmentChanged) effect()   {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -46,6 +46,23 @@
 	Seed uint64
 	// Fingerprint identifies the request's content.
 	Fingerprint quarantine.Fingerprint
+	// Delegated is set if a peer has passed the request on.
+	Delegated *Delegated
+}
+
+// PeersChanged carries the entry nodes that requests may be passed on to.
+type PeersChanged struct{ Peers []Peer }
+
+// DelegationEnded is the end of a delegation. Status is that of the response or refusal,
+// Reason and RetryAfter those of a refusal. Missing is the number of pools that are left out
+// of a response.
+type DelegationEnded struct {
+	Delegation DelegationID
+	Outcome    DelegationOutcome
+	Status     int
+	Reason     Reason
+	RetryAfter time.Duration
+	Missing    int
 }
 
 // VerdictsReceived carries a control process's verdicts on requests that crash targets.
@@ -188,6 +205,8 @@
 func (NodesChanged) event()     {}
 func (RequestArrived) event()   {}
 func (VerdictsReceived) event() {}
+func (PeersChanged) event()     {}
+func (DelegationEnded) event()  {}
 func (CallerGone) event()       {}
 func (TimerFired) event()       {}
 func (AttemptEnded) event()     {}
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -58,7 +58,7 @@
 // out of reach, and merges a gather of which no part is pending.
 func (s *State) markMissing(p *part) {
 	r := p.request
-	if r.done || p.phase == partAnswered || p.phase == partMissing {
+	if r.done || r.handedOver || p.phase == partAnswered || p.phase == partMissing {
 		return
 	}
 	p.phase = partMissing
@@ -89,6 +89,9 @@
 	if s.answerPartial(r) {
 		return
 	}
+	if r.delegation != nil {
+		r.delegation.peer.avoidUntil = s.now.Add(peerPause)
+	}
 	s.fail(r, ReasonTimeout)
 }
 
@@ -100,9 +103,10 @@
 		s.relay(r, failure)
 		return
 	}
-	for _, p := range r.parts {
-		r.mayHaveRun = r.mayHaveRun || len(p.outstanding) > 0
+	if reason != ReasonTimeout && reason != ReasonOverload && s.lacksPath(r) && s.rescue(r) {
+		return
 	}
+	r.mayHaveRun = r.mayHaveRunNow() || r.delegation != nil
 	switch {
 	case !r.mayHaveRun:
 		s.refuse(r, http.StatusServiceUnavailable, reason, s.retryAfter(r, reason))
@@ -208,6 +212,9 @@
 // in flight are cancelled after linger.
 func (s *State) finish(r *request, linger time.Duration) {
 	r.done = true
+	if r.delegation != nil {
+		s.emit(CancelDelegation{Delegation: r.delegation.id})
+	}
 	for _, p := range r.parts {
 		if p.failure != nil {
 			s.emit(Discard{Attempt: p.failure.id})
@@ -250,7 +257,7 @@
 			break
 		}
 	}
-	if len(r.lingering) == 0 {
+	if len(r.lingering) == 0 && r.done {
 		delete(s.requests, r.id)
 	}
 }
@@ -275,6 +282,7 @@
 		out.Route = r.route.config.Name
 		out.Goal = r.route.config.Goal
 	}
+	out.Peers = s.peerRecords(r)
 	out.Sends = make([]SendRecord, 0, len(r.sends))
 	for _, a := range r.sends {
 		record := SendRecord{
--- a/internal/entry/forward/harness_test.go
+++ b/internal/entry/forward/harness_test.go
@@ -55,6 +55,18 @@
 
 func (h *harness) advance(d time.Duration) { h.now = h.now.Add(d) }
 
+// tickFor advances the time with a tick every 100 ms, as the driver's, and returns the
+// effects.
+func (h *harness) tickFor(d time.Duration) []Effect {
+	h.t.Helper()
+	var effects []Effect
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advance(min(100*time.Millisecond, end.Sub(h.now)))
+		effects = append(effects, h.apply(Tick{})...)
+	}
+	return effects
+}
+
 // addTarget announces a ready target with three slots.
 func (h *harness) addTarget(id, pool, dataCentre string) {
 	h.apply(TargetChanged{Announcement: api.Announcement{
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -42,7 +42,7 @@
 func (p *part) mayHedge() bool {
 	config := &p.request.route.config
 	return config.Idempotent && p.phase == partSent && len(p.outstanding) > 0 &&
-		!p.hedged && p.runs < max(1, config.Attempts)
+		!p.hedged && p.runs < p.request.attempts
 }
 
 // handleTimer carries out what is due for a request: it answers or refuses the request,
@@ -65,19 +65,22 @@
 		s.timeOut(r)
 		return
 	}
+	if r.handedOver {
+		return
+	}
 	for _, p := range r.parts {
 		if p.phase == partWaiting {
 			s.sendWaiting(p.pool) // a target may accept connections again
 		}
 	}
-	if r.done {
+	if r.done || r.handedOver {
 		return
 	}
 	if !s.now.Before(r.due) && (s.answerPartial(r) || s.refuseUnsentGather(r)) {
 		return
 	}
 	s.refuseUnsentPlain(r)
-	if r.done {
+	if r.done || r.handedOver {
 		return
 	}
 	delay := s.hedgeDelay(r.route)
@@ -176,6 +179,10 @@
 		return
 	}
 	at := r.deadline.Add(-answerMargin)
+	if r.handedOver {
+		s.emit(SetTimer{Request: r.id, At: at})
+		return
+	}
 	if r.due.After(s.now) && r.due.Before(at) {
 		at = r.due
 	}
--- a/internal/entry/forward/isolation_test.go
+++ b/internal/entry/forward/isolation_test.go
@@ -42,8 +42,7 @@
 			if tc.answered > 0 {
 				h.endAttempt(h.onlySend(requests[tc.answered-1]).Attempt, OutcomeSuccess, 200)
 			}
-			h.advance(tc.after - 100*time.Millisecond)
-			h.apply(Tick{})
+			h.tickFor(tc.after - 100*time.Millisecond)
 			assert.Equal(t, h.state.Isolated(), tc.isolated)
 		})
 	}
@@ -60,8 +59,7 @@
 		request := h.arrive("h")
 		h.arrive("h")
 		h.arrive("h")
-		h.advance(isolationSilence)
-		changed := find[IsolationChanged](h.apply(Tick{}))
+		changed := find[IsolationChanged](h.tickFor(isolationSilence))
 		assert.DeepEqual(t, changed, []IsolationChanged{{Isolated: true, SinceReply: isolationSilence}})
 		send := h.onlySend(request)
 		var effects []Effect
@@ -71,8 +69,7 @@
 			effects = h.endAttempt(send.Attempt, OutcomeFailure, 500)
 		}
 		assert.DeepEqual(t, find[IsolationChanged](effects), []IsolationChanged{{SinceReply: isolationSilence}})
-		h.advance(isolationSilence)
-		h.apply(Tick{})
+		h.tickFor(isolationSilence)
 		assert.Assert(t, !h.state.Isolated())
 	}
 }
@@ -90,10 +87,23 @@
 		h.lastRequest++
 		h.apply(RequestArrived{Request: h.lastRequest, Host: "h", Path: "/a/x"})
 	}
-	h.advance(4 * time.Second)
-	h.apply(Tick{})
+	h.tickFor(4 * time.Second)
 	assert.Assert(t, !h.state.Isolated())
-	h.advance(3 * time.Second)
-	h.apply(Tick{})
+	h.tickFor(3 * time.Second)
 	assert.Assert(t, h.state.Isolated())
 }
+
+// TestPauseOfTheProcessIsNoIsolation pauses the process for longer than targets may be
+// silent; their replies are read after the pause.
+func TestPauseOfTheProcessIsNoIsolation(t *testing.T) {
+	h := newHarness(t, newTable(1, plainRoute("h", "a", false)))
+	for _, id := range []string{"a", "b", "c"} {
+		h.addTarget(id, "a", home)
+	}
+	for range 3 {
+		h.arrive("h")
+	}
+	h.advance(2 * time.Second)
+	h.apply(Tick{})
+	assert.Assert(t, !h.state.Isolated())
+}
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -22,6 +22,8 @@
 	waiting []*part
 	// admission estimates how fast the queue is served.
 	admission limit.Admission
+	// lackedUntil is the time until which peers are taken to lack targets of the pool too.
+	lackedUntil time.Time
 	// cursor rotates the order in which targets are compared, so that requests are
 	// spread over targets with equal scores.
 	cursor int
@@ -49,6 +51,19 @@
 	return false
 }
 
+// isUnreachable reports whether the pool has targets that accept work, but this node reaches
+// none of them.
+func (p *pool) isUnreachable() bool {
+	unreachable := false
+	for _, t := range p.targets {
+		if t.acceptsWork() && !t.unreachable {
+			return false
+		}
+		unreachable = unreachable || t.acceptsWork()
+	}
+	return unreachable
+}
+
 // unblocksAt returns when the first of the blocked targets may be tried again, and
 // whether there is one.
 func (p *pool) unblocksAt(now time.Time) (until time.Time, blocked bool) {
@@ -146,10 +161,15 @@
 
 // roundTrip returns the round trip to a target.
 func (s *State) roundTrip(t *target) time.Duration {
-	if known, ok := s.roundTrips[t.announcement.DataCentre]; ok {
+	return s.roundTripTo(t.announcement.DataCentre)
+}
+
+// roundTripTo returns the round trip to a data centre.
+func (s *State) roundTripTo(dataCentre string) time.Duration {
+	if known, ok := s.roundTrips[dataCentre]; ok {
 		return known
 	}
-	if t.local {
+	if dataCentre == s.options.DataCentre {
 		return localRoundTrip
 	}
 	return defaultRoundTrip
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -23,7 +23,7 @@
 	s.observeOutcome(a, ev)
 	p := a.part
 	r := p.request
-	if r.done {
+	if r.done || r.handedOver {
 		s.removeLingering(r, a)
 		s.emit(Discard{Attempt: a.id})
 	} else {
@@ -32,7 +32,7 @@
 	}
 	a.target.pool.admission.RecordCompletion(s.now, len(a.target.pool.waiting))
 	s.sendWaiting(a.target.pool)
-	if !r.done {
+	if !r.done && !r.handedOver {
 		s.setTimer(r)
 	}
 }
@@ -189,8 +189,7 @@
 		s.markMissing(p)
 		return
 	}
-	attempts := max(1, config.Attempts)
-	if p.runs >= attempts || p.sends >= attempts+maxExtraSends {
+	if p.runs >= p.request.attempts || p.sends >= p.request.attempts+maxExtraSends {
 		s.markMissing(p)
 		return
 	}
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -42,16 +42,21 @@
 	served     quarantine.Served
 
 	isolation isolation
+	peers     []*peer
+	// delegations holds the requests that peers have been passed and not answered.
+	delegations map[DelegationID]*delegation
 
-	lastAttempt AttemptID
-	effects     []Effect
-	counters    Counters
+	lastAttempt    AttemptID
+	lastDelegation DelegationID
+	effects        []Effect
+	counters       Counters
 }
 
 // Counters counts decisions since the process started. Partial is included in Answered.
 // Failed counts relayed replies with an error status, Gone requests whose caller has
 // disconnected, NoBudget hedges and retries beyond the budget, and Unreached how often
-// a target became unreachable.
+// a target became unreachable. Delegated counts requests passed on to peers, each time, and
+// Taken those that peers have passed to this node, which Requests includes.
 type Counters struct {
 	Requests  uint64 `json:"requests"`
 	Answered  uint64 `json:"answered"`
@@ -66,6 +71,8 @@
 	Probes    uint64 `json:"probes"`
 	NoBudget  uint64 `json:"no_budget"`
 	Unreached uint64 `json:"unreached"`
+	Delegated uint64 `json:"delegated"`
+	Taken     uint64 `json:"taken"`
 }
 
 // request is a caller's request, kept until its last attempt has ended.
@@ -89,15 +96,25 @@
 	// route usually start with, and so was probably refused before, by this node or
 	// another.
 	returning bool
-	parts     []*part
+	// delegated is set for a request that a peer has passed to this node.
+	delegated *Delegated
+	// attempts is the number of targets of each pool that the request may be sent to.
+	attempts int
+	parts    []*part
 	// pending is the number of parts that are neither answered nor missing.
 	pending int
 	missing int
 	// mayHaveRun reports that a target may have run the request.
 	mayHaveRun bool
 	done       bool
-	// lingering holds the attempts still in flight after the request has ended.
-	// Those left when the timer fires are cancelled.
+	// handedOver reports that the request was passed on to a peer and is not decided by
+	// its parts any more. delegation is the one in progress, nil for none.
+	handedOver  bool
+	delegation  *delegation
+	delegations []*delegation
+	askedPeers  []*peer
+	// lingering holds the attempts still in flight after the request has ended or was
+	// handed over. Those left when the timer fires are cancelled.
 	lingering []*attempt
 	sends     []*attempt
 	hedges    int
@@ -180,6 +197,8 @@
 		roundTrips: map[string]time.Duration{},
 		quarantine: quarantine.NewSet(),
 		isolation:  isolation{period: 1},
+
+		delegations: map[DelegationID]*delegation{},
 	}
 }
 
@@ -209,10 +228,11 @@
 // out, in order. The slice is valid until the next call. now must not decrease
 // from call to call.
 func (s *State) Reduce(now time.Time, ev Event) []Effect {
-	s.now = now
 	if s.started.IsZero() {
-		s.started, s.isolation.lastReply = now, now
+		s.started, s.isolation.lastReply, s.now = now, now, now
 	}
+	s.excusePause(now.Sub(s.now))
+	s.now = now
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
 	case TableInstalled:
@@ -223,6 +243,10 @@
 		s.updateNodes(ev.PerDataCentre, ev.Rank)
 	case RequestArrived:
 		s.handleArrival(ev)
+	case PeersChanged:
+		s.updatePeers(ev.Peers)
+	case DelegationEnded:
+		s.handleDelegationEnd(ev)
 	case VerdictsReceived:
 		s.mergeVerdicts(ev.Verdicts)
 	case CallerGone:
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -121,6 +121,9 @@
 	s.confirmCrash(t)
 	t.announcement.State = api.TargetGone
 	delete(s.targets, t.id())
+	if t.unreachable {
+		s.countUnreachable(-1)
+	}
 	t.pool.remove(t)
 	s.emit(Forget{Target: t.id()})
 	s.sharePoolConnections(t.pool)
@@ -209,17 +212,25 @@
 // sendDueProbes sends the health checks that are due, of unreachable targets and of those
 // that may have crashed.
 func (s *State) sendDueProbes() {
+	if s.isolation.isolated {
+		s.probeAnyTargets()
+		return
+	}
 	for _, t := range s.targets {
 		due := t.unreachable && !s.now.Before(t.nextProbe) && !s.now.Before(t.retryAt) || t.needsCrashProbe(s.now)
 		if t.probing || !t.acceptsWork() || !due {
 			continue
 		}
-		t.probing = true
-		s.counters.Probes++
-		s.emit(Probe{Target: t.id(), Incarnation: t.announcement.Incarnation, Address: t.announcement.Address, Path: t.pool.config.HealthPath})
+		s.probe(t)
 	}
 }
 
+func (s *State) probe(t *target) {
+	t.probing = true
+	s.counters.Probes++
+	s.emit(Probe{Target: t.id(), Incarnation: t.announcement.Incarnation, Address: t.announcement.Address, Path: t.pool.config.HealthPath})
+}
+
 // handleProbeEnd marks a healthy target reachable, or doubles the interval until its
 // next health check.
 func (s *State) handleProbeEnd(ev ProbeEnded) {
@@ -260,6 +271,7 @@
 		return
 	}
 	t.unreachable = false
+	s.countUnreachable(-1)
 	s.emit(ReachabilityChanged{Target: t.id(), Pool: t.pool.name, NewState: TargetReachable, Slowdown: t.expectedSlowdown(s.now)})
 }
 
@@ -271,6 +283,7 @@
 		return
 	}
 	t.unreachable = true
+	s.countUnreachable(1)
 	t.probeInterval = minProbeInterval
 	t.nextProbe = s.now.Add(minProbeInterval)
 	s.counters.Unreached++
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -74,12 +74,7 @@
 	out.WriteString(r.Host)
 	out.WriteString("\r\n")
 	names := n.cfg.Headers
-	header := make(http.Header, len(r.Header)+3)
-	for name, values := range r.Header {
-		if !hopByHop(name) && !listedInConnection(r.Header, name) {
-			header[name] = values
-		}
-	}
+	header := endToEnd(r.Header)
 	remainingMS := max(1, time.Until(e.Deadline).Milliseconds())
 	header.Set(names.Deadline, strconv.FormatInt(remainingMS, 10))
 	header.Set(names.ExpectTarget, string(e.Target))
@@ -95,6 +90,17 @@
 	return out.Bytes()
 }
 
+// endToEnd returns the headers of a request that are forwarded.
+func endToEnd(header http.Header) http.Header {
+	out := make(http.Header, len(header)+3)
+	for name, values := range header {
+		if !hopByHop(name) && !listedInConnection(header, name) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
 // hopByHop reports whether a header applies to a single connection and is not
 // forwarded.
 func hopByHop(name string) bool {
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -40,6 +40,12 @@
 		n.relay(e)
 	case forward.Merge:
 		n.merge(e)
+	case forward.Delegate:
+		n.peers.delegate(e)
+	case forward.CancelDelegation:
+		n.peers.cancel(e.Delegation)
+	case forward.PassOn:
+		n.finish(e.Request, answer{passedOn: n.peers.responses[e.Delegation]}, e.Status, "", &e.Summary)
 	case forward.Refuse:
 		n.finish(e.Request, answer{refusal: &e}, e.Status, string(e.Reason), &e.Summary)
 	case forward.Abandon:
@@ -65,6 +71,8 @@
 		n.logRateLimit(e)
 	case forward.ReachabilityChanged:
 		n.logReachability(e)
+	case forward.ImpairmentChanged:
+		n.logImpairment(e)
 	case forward.IsolationChanged:
 		n.logIsolation(e)
 	default:
--- a/internal/entry/forwarder/isolation.go
+++ b/internal/entry/forwarder/isolation.go
@@ -14,3 +14,11 @@
 	}
 	event.Log(n.logger, zap.Duration("since_reply", e.SinceReply))
 }
+
+func (n *Node) logImpairment(e forward.ImpairmentChanged) {
+	event := telemetry.ForwardMostUnreachable
+	if !e.Impaired {
+		event = telemetry.ForwardMostReachable
+	}
+	event.Log(n.logger, zap.Int("unreachable", e.Unreachable), zap.Int("targets", e.Targets))
+}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -56,8 +56,10 @@
 	DecodeTable func(document []byte) (*api.RoutingTable, error)
 	// Metrics records counts and durations of requests.
 	Metrics *telemetry.Metrics
-	// Dial opens connections to control processes; nil means plain TCP.
-	Dial wire.DialFunc
+	// Dial opens connections to control processes and other entry nodes; nil means plain
+	// TCP. WrapPeers secures the listener for other entry nodes; nil means plain TCP.
+	Dial      wire.DialFunc
+	WrapPeers func(net.Listener) net.Listener
 	// DialTargets opens connections to targets; nil means plain TCP.
 	DialTargets pool.Dial
 }
@@ -69,6 +71,7 @@
 	pool    *pool.Pool
 	client  *wire.Client
 	watcher *watch.Watcher
+	peers   *peering
 
 	mu           sync.Mutex
 	state        *forward.State
@@ -122,6 +125,7 @@
 	}
 	cfg.Metrics.AddGauges(n.gauges)
 	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.peers = newPeering(n)
 	n.watcher = watch.New(watch.Config{
 		Node:         cfg.Settings.Node.ID,
 		Kind:         discovery.WatcherEntry,
@@ -137,6 +141,7 @@
 		Withdrawals:  n.withdrawalsSince,
 		CrashReports: n.crashReportsSince,
 		Verdicts:     n.verdicts,
+		Peering:      n.peers.state,
 	})
 	return n
 }
@@ -151,6 +156,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	if err := n.peers.start(); err != nil {
+		return err
+	}
 	n.callerServer = n.startServer(callerListener, http.HandlerFunc(n.serveForward))
 	n.readinessServer = n.startServer(readinessListener, n.readinessHandler())
 	n.watcher.Start()
@@ -185,6 +193,7 @@
 	n.stop()
 	n.watcher.Stop()
 	n.client.Close()
+	n.peers.stop()
 	n.pool.Close()
 	n.goroutines.Wait()
 	telemetry.ForwardStopped.Log(n.logger, zap.Int("in_progress", n.InProgress()))
--- /dev/null
+++ b/internal/entry/forwarder/peering.go
@@ -0,0 +1,328 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/discovery"
+	"wigeonbay/internal/discovery/watch"
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/entryrpc"
+	"wigeonbay/internal/quarantine"
+	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wire"
+)
+
+const (
+	// peersLearnTime is how long after its start a node asks for peers, while other nodes
+	// may start too. Later it does so only if it needs them.
+	peersLearnTime = 10 * time.Second
+	// cancelTimeout limits the call that cancels a delegation.
+	cancelTimeout = time.Second
+	// maxEarlyCancels limits the cancellations that are kept because the call that they
+	// cancel has not begun: calls of one connection are handled concurrently.
+	maxEarlyCancels = 64
+)
+
+// errCancelled is returned to a peer that has cancelled its call.
+var errCancelled = errors.New("the call was cancelled")
+
+// peering passes requests on to other entry nodes and takes theirs. Its maps are guarded by
+// the node's mutex.
+type peering struct {
+	node   *Node
+	client *wire.Client
+	server *wire.Server
+	// start number and last number of this node's calls.
+	startNumber uint64
+	// lists holds the peers that each control process named last, by its address.
+	lists map[string][]discovery.EntryPeer
+	// cancels ends delegations in progress; responses holds the response of one until the
+	// state machine has handled its end.
+	cancels   map[forward.DelegationID]context.CancelFunc
+	responses map[forward.DelegationID]*entryrpc.Response
+
+	callsMu sync.Mutex
+	// calls ends the calls of peers in progress; earlyCancels holds those that were
+	// cancelled before they began.
+	calls        map[entryrpc.CallID]context.CancelFunc
+	earlyCancels []entryrpc.CallID
+}
+
+func newPeering(n *Node) *peering {
+	return &peering{
+		node: n, client: wire.NewClient(n.cfg.Dial), startNumber: rand.Uint64(),
+		lists:     map[string][]discovery.EntryPeer{},
+		cancels:   map[forward.DelegationID]context.CancelFunc{},
+		responses: map[forward.DelegationID]*entryrpc.Response{},
+		calls:     map[entryrpc.CallID]context.CancelFunc{},
+	}
+}
+
+// start opens the listener for other entry nodes unless the settings have none.
+func (p *peering) start() error {
+	address := p.node.cfg.Settings.Listen.ForwardPeers
+	if address == "" {
+		return nil
+	}
+	listener, err := wire.Listen(address, nil)
+	if err != nil {
+		return fmt.Errorf("listen for other entry nodes: %w", err)
+	}
+	if p.node.cfg.WrapPeers != nil {
+		listener = p.node.cfg.WrapPeers(listener)
+	}
+	p.server = wire.NewServer()
+	if err := p.server.Register("Entry", &peerService{p}); err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	p.server.Serve(listener)
+	return nil
+}
+
+func (p *peering) stop() {
+	p.client.Close()
+	if p.server != nil {
+		p.server.Close()
+	}
+}
+
+// state returns what control processes are told. A node that stops or is impaired takes
+// no requests from others.
+func (p *peering) state() watch.Peering {
+	n := p.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	impaired := n.state.Impaired()
+	out := watch.Peering{Address: n.cfg.Settings.Listen.ForwardPeers}
+	if out.Address == "" {
+		return out
+	}
+	if impaired || n.draining.Load() {
+		out.Address = ""
+	}
+	out.Urgent = impaired
+	out.WantsPeers = time.Since(n.created) < peersLearnTime || len(n.state.Peers()) == 0
+	return out
+}
+
+// update applies the peers that a control process has named. Control processes know
+// different nodes, so the peers of all are used. The caller holds the node's mutex.
+func (p *peering) update(control string, named []discovery.EntryPeer) {
+	if named == nil {
+		return
+	}
+	p.lists[control] = named
+	var peers []forward.Peer
+	for _, list := range p.lists {
+		for _, e := range list {
+			if peer := forward.Peer(e); !slices.Contains(peers, peer) {
+				peers = append(peers, peer)
+			}
+		}
+	}
+	slices.SortFunc(peers, func(a, b forward.Peer) int { return comparePeers(named, a, b) })
+	if !slices.Equal(peers, p.node.state.Peers()) {
+		p.node.stepLocked(forward.PeersChanged{Peers: peers})
+	}
+}
+
+// comparePeers orders peers as in a list, and those that aren't in it by name at the end.
+func comparePeers(list []discovery.EntryPeer, a, b forward.Peer) int {
+	position := func(peer forward.Peer) int {
+		at := slices.Index(list, discovery.EntryPeer(peer))
+		if at < 0 {
+			return len(list)
+		}
+		return at
+	}
+	if difference := position(a) - position(b); difference != 0 {
+		return difference
+	}
+	if a.Node < b.Node {
+		return -1
+	}
+	return 1
+}
+
+// delegate passes a request on in its own goroutine. The caller holds the node's mutex.
+func (p *peering) delegate(e forward.Delegate) {
+	n := p.node
+	pending := n.requests[e.Request]
+	if pending == nil {
+		go n.step(forward.DelegationEnded{Delegation: e.Delegation, Outcome: forward.DelegationNotSent})
+		return
+	}
+	r := pending.incoming
+	args := &entryrpc.ForwardArgs{
+		ID:     entryrpc.CallID{Node: n.cfg.Settings.Node.ID, Start: p.startNumber, Number: uint64(e.Delegation)},
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: pending.body,
+		TableVersion: e.TableVersion, Attempts: e.Attempts, Repeated: e.Repeated,
+		AgeUS: e.Age.Microseconds(), DelayUS: e.Delay.Microseconds(),
+	}
+	ctx, cancel := context.WithDeadline(trace.ContextWithSpan(n.ctx, trace.SpanFromContext(pending.ctx)), e.Deadline)
+	p.cancels[e.Delegation] = cancel
+	go func() {
+		defer cancel()
+		var reply entryrpc.ForwardReply
+		err := p.client.Call(ctx, e.Peer.Address, entryrpc.MethodForward, args, &reply)
+		if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, wire.ErrNotSent) {
+			p.sendCancel(e.Peer.Address, args.ID)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(p.cancels, e.Delegation)
+		p.responses[e.Delegation] = reply.Response
+		n.stepLocked(n.delegationEnded(e.Delegation, &reply, err))
+		delete(p.responses, e.Delegation)
+	}()
+}
+
+// cancel ends a delegation. The caller holds the node's mutex.
+func (p *peering) cancel(id forward.DelegationID) {
+	if cancel := p.cancels[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// sendCancel tells a peer that nobody waits for a response any more. A failure is not
+// retried: the peer ends the work at the deadline, or when the connection ends.
+func (p *peering) sendCancel(address string, id entryrpc.CallID) {
+	ctx, cancel := context.WithTimeout(p.node.ctx, cancelTimeout)
+	defer cancel()
+	if err := p.client.Call(ctx, address, entryrpc.MethodCancel, &entryrpc.CancelArgs{ID: id}, &entryrpc.CancelReply{}); err != nil {
+		telemetry.ForwardCancelNotDelivered.Log(p.node.logger, zap.String("peer", address), zap.Error(err))
+	}
+}
+
+// delegationEnded returns the event for the end of a call to a peer.
+func (n *Node) delegationEnded(id forward.DelegationID, reply *entryrpc.ForwardReply, err error) forward.DelegationEnded {
+	ended := forward.DelegationEnded{Delegation: id, Outcome: forward.DelegationLost}
+	switch {
+	case errors.Is(err, wire.ErrNotSent):
+		ended.Outcome = forward.DelegationNotSent
+	case err != nil:
+	case reply.Refusal != nil:
+		ended.Outcome = forward.DelegationRefused
+		ended.Status, ended.Reason, ended.RetryAfter = reply.Refusal.Status, forward.Reason(reply.Refusal.Reason), reply.Refusal.RetryAfter
+	case reply.Response != nil:
+		ended.Outcome, ended.Status = forward.DelegationAnswered, reply.Response.Status
+		ended.Missing, _ = strconv.Atoi(http.Header(reply.Response.Header).Get(n.cfg.Headers.MissingParts))
+	}
+	return ended
+}
+
+// peerService serves the calls of other entry nodes.
+type peerService struct{ p *peering }
+
+// Forward forwards a request for another entry node.
+func (s *peerService) Forward(args *entryrpc.ForwardArgs, reply *entryrpc.ForwardReply) error {
+	n := s.p.node
+	if n.draining.Load() {
+		reply.Refusal = &entryrpc.Refusal{Status: http.StatusServiceUnavailable, Reason: string(forward.ReasonShutdown), RetryAfter: shutdownRetry}
+		return nil
+	}
+	target, err := url.ParseRequestURI(args.URI)
+	if err != nil {
+		return fmt.Errorf("URI of a request: %w", err)
+	}
+	ctx, cancel := args.Envelope.Context(maxDeadline)
+	defer cancel()
+	if !s.p.begin(args.ID, cancel) {
+		return errCancelled
+	}
+	defer s.p.end(args.ID)
+	go func() {
+		select {
+		case <-args.Disconnected():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	// Work that a shutdown waits for counts until its response has been sent.
+	defer func() { n.lastArrival.Store(int64(time.Since(n.created))) }()
+	deadline, _ := ctx.Deadline()
+	a, ok := n.forwardForPeer(ctx, args, target, deadline)
+	switch {
+	case !ok:
+		return errCancelled
+	case a.refusal != nil:
+		reply.Refusal = &entryrpc.Refusal{Status: a.refusal.Status, Reason: string(a.refusal.Reason), RetryAfter: a.refusal.RetryAfter}
+	default:
+		reply.Response = n.response(a)
+	}
+	return nil
+}
+
+// forwardForPeer passes a peer's request to the state machine and waits for the answer.
+func (n *Node) forwardForPeer(ctx context.Context, args *entryrpc.ForwardArgs, target *url.URL, deadline time.Time) (answer, bool) {
+	ctx, span := tracer.Start(ctx, "entry.forward_for_peer", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	incoming := &http.Request{
+		Method: args.Method, URL: target, RequestURI: args.URI, Host: args.Host, Header: args.Header,
+		ContentLength: int64(len(args.Body)),
+	}
+	if incoming.Header == nil {
+		incoming.Header = http.Header{}
+	}
+	request := forward.RequestID(n.lastRequestID.Add(1))
+	pending := &pendingRequest{
+		ctx: ctx, id: incoming.Header.Get(n.cfg.Headers.RequestID), incoming: incoming, body: args.Body,
+		arrived: time.Now(), done: make(chan answer, 1),
+		fingerprint: quarantine.NewFingerprint(args.Method, args.Host, args.URI, args.Body),
+		uri:         args.URI[:min(len(args.URI), maxLoggedURIBytes)],
+		origin:      args.ID.Node,
+	}
+	return n.awaitAnswer(request, pending, forward.RequestArrived{
+		Request: request, Host: requestHost(incoming), Path: target.EscapedPath(), Deadline: deadline,
+		Delay: time.Duration(args.DelayUS) * time.Microsecond, Seed: rand.Uint64(), Fingerprint: pending.fingerprint,
+		Delegated: &forward.Delegated{
+			TableVersion: args.TableVersion, Attempts: args.Attempts, Repeated: args.Repeated,
+			Age: time.Duration(args.AgeUS) * time.Microsecond,
+		},
+	})
+}
+
+// Cancel ends a call of Forward.
+func (s *peerService) Cancel(args *entryrpc.CancelArgs, _ *entryrpc.CancelReply) error {
+	p := s.p
+	p.callsMu.Lock()
+	defer p.callsMu.Unlock()
+	if cancel := p.calls[args.ID]; cancel != nil {
+		cancel()
+		return nil
+	}
+	if len(p.earlyCancels) == maxEarlyCancels {
+		p.earlyCancels = p.earlyCancels[1:]
+	}
+	p.earlyCancels = append(p.earlyCancels, args.ID)
+	return nil
+}
+
+// begin registers a call, and reports whether it has not been cancelled already.
+func (p *peering) begin(id entryrpc.CallID, cancel context.CancelFunc) bool {
+	p.callsMu.Lock()
+	defer p.callsMu.Unlock()
+	if slices.Contains(p.earlyCancels, id) {
+		return false
+	}
+	p.calls[id] = cancel
+	return true
+}
+
+func (p *peering) end(id entryrpc.CallID) {
+	p.callsMu.Lock()
+	defer p.callsMu.Unlock()
+	delete(p.calls, id)
+}
--- a/internal/entry/forwarder/record.go
+++ b/internal/entry/forwarder/record.go
@@ -64,3 +64,31 @@
 	}
 	return nil
 }
+
+// peerRecords logs how peers were asked.
+type peerRecords []forward.PeerRecord
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (r peerRecords) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for i := range r {
+		if err := enc.AppendObject((*peerRecord)(&r[i])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peerRecord logs one delegation.
+type peerRecord forward.PeerRecord
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r *peerRecord) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("node", r.Node)
+	enc.AddDuration("after", r.After)
+	enc.AddDuration("took", r.Took)
+	enc.AddString("outcome", r.Outcome)
+	if r.Reason != "" {
+		enc.AddString("reason", string(r.Reason))
+	}
+	return nil
+}
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -18,6 +19,7 @@
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/gather"
 	"wigeonbay/internal/entry/pool"
+	"wigeonbay/internal/entryrpc"
 	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/telemetry"
 )
@@ -33,19 +35,22 @@
 	// fingerprint identifies the request's content: callers that send the same again use
 	// another ID.
 	fingerprint quarantine.Fingerprint
-	// uri is the start of the request's URI, for the log.
+	// uri is the start of the request's URI, for the log. origin is the peer that has
+	// passed the request on, "" for none.
 	uri     string
+	origin  string
 	done    chan answer
 	arrived time.Time
 }
 
-// answer is the response to a caller: a refusal, one target's reply, or the replies in
-// parts, which are merged. It is empty if the caller has disconnected.
+// answer is the response to a caller: a refusal, one target's reply, the replies in parts,
+// which are merged, or a peer's response. It is empty if the caller has disconnected.
 type answer struct {
-	refusal *forward.Refuse
-	reply   *pool.Reply
-	merged  *forward.Merge
-	parts   []*pool.Reply
+	refusal  *forward.Refuse
+	reply    *pool.Reply
+	merged   *forward.Merge
+	parts    []*pool.Reply
+	passedOn *entryrpc.Response
 }
 
 // serveForward handles a caller's request.
@@ -58,9 +63,9 @@
 		telemetry.ForwardRequestRejected.Log(n.logger,
 			zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)),
 			zap.Int("status", http.StatusServiceUnavailable))
-		n.writeRefusal(w, &forward.Refuse{
+		n.write(w, answer{refusal: &forward.Refuse{
 			Status: http.StatusServiceUnavailable, Reason: forward.ReasonShutdown, RetryAfter: shutdownRetry,
-		})
+		}})
 		return
 	}
 	arrived := time.Now()
@@ -174,58 +179,60 @@
 }
 
 func (n *Node) write(w http.ResponseWriter, a answer) {
+	response := n.response(a)
+	header := w.Header()
+	maps.Copy(header, response.Header)
+	if _, typed := header["Content-Type"]; !typed {
+		// Prevents net/http from detecting a content type that the target did not send.
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
+
+// response returns the HTTP response of an answer, without its length.
+func (n *Node) response(a answer) *entryrpc.Response {
 	switch {
 	case a.refusal != nil:
-		n.writeRefusal(w, a.refusal)
+		return refusalResponse(a.refusal)
 	case a.merged != nil:
-		n.writeMerged(w, a)
+		return n.mergedResponse(a)
+	case a.passedOn != nil:
+		return a.passedOn
 	default:
-		writeReply(w, a.reply)
+		return replyResponse(a.reply)
 	}
 }
 
-func (n *Node) writeRefusal(w http.ResponseWriter, refusal *forward.Refuse) {
-	header := w.Header()
+func refusalResponse(refusal *forward.Refuse) *entryrpc.Response {
+	header := http.Header{"Content-Type": {"text/plain"}}
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	body := string(refusal.Reason) + "\n"
-	header.Set("Content-Type", "text/plain")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(refusal.Status)
-	_, _ = io.WriteString(w, body)
+	return &entryrpc.Response{Status: refusal.Status, Header: header, Body: []byte(string(refusal.Reason) + "\n")}
 }
 
-func (n *Node) writeMerged(w http.ResponseWriter, a answer) {
+func (n *Node) mergedResponse(a answer) *entryrpc.Response {
 	bodies := make([][]byte, len(a.parts))
-	header := w.Header()
+	header := http.Header{"Content-Type": {"application/octet-stream"}}
 	for i, part := range a.parts {
 		bodies[i] = part.Body
 		header.Add(n.cfg.Headers.PartSignatures, part.Header.Get(n.cfg.Headers.Signature))
 	}
-	records := gather.TopRecords(bodies, a.merged.TopK)
 	header.Set(n.cfg.Headers.MissingParts, strconv.Itoa(a.merged.Missing))
-	header.Set("Content-Type", "application/octet-stream")
-	header.Set("Content-Length", strconv.Itoa(len(records)))
-	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(records)
+	return &entryrpc.Response{Status: http.StatusOK, Header: header, Body: gather.TopRecords(bodies, a.merged.TopK)}
 }
 
-// writeReply relays a target's reply without the headers that hopByHop reports.
-func writeReply(w http.ResponseWriter, reply *pool.Reply) {
-	header := w.Header()
+// replyResponse relays a target's reply without the headers that hopByHop reports.
+func replyResponse(reply *pool.Reply) *entryrpc.Response {
+	header := make(http.Header, len(reply.Header))
 	for name, values := range reply.Header {
 		if !hopByHop(name) {
 			header[name] = values
 		}
 	}
-	if _, typed := header["Content-Type"]; !typed {
-		// Prevents net/http from detecting a content type that the target did not send.
-		header["Content-Type"] = nil
-	}
-	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
-	w.WriteHeader(reply.Status)
-	_, _ = w.Write(reply.Body)
+	return &entryrpc.Response{Status: reply.Status, Header: header, Body: reply.Body}
 }
 
 // maxLoggedURIBytes limits how much of a request's URI is logged.
@@ -252,6 +259,12 @@
 		zap.Int("hedges", s.Hedges),
 		zap.String("no_hedge", string(s.NoHedge)),
 	}
+	if p.origin != "" {
+		fields = append(fields, zap.String("origin", p.origin))
+	}
+	if len(s.Peers) > 0 {
+		fields = append(fields, zap.Array("peers", peerRecords(s.Peers)))
+	}
 	late := s.Goal > 0 && s.Took > s.Goal
 	if status < http.StatusOK || status >= http.StatusBadRequest || s.Missed > 0 || late {
 		telemetry.ForwardRequestFailedOrDegraded.Log(n.logger, append(fields,
--- a/internal/entry/forwarder/watch.go
+++ b/internal/entry/forwarder/watch.go
@@ -28,6 +28,7 @@
 		n.stepLocked(forward.VerdictsReceived{Verdicts: reply.Verdicts})
 	}
 	n.updateNodeCounts(reply.EntryNodes, reply.EntryRank)
+	n.peers.update(address, reply.EntryPeers)
 	if table != nil && table.Version > n.state.TableVersion() {
 		n.stepLocked(forward.TableInstalled{Table: table})
 		n.maxBodyBytes = table.Limits.BodyBytes
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,6 +17,9 @@
 			listener{"callers", s.Listen.Callers, false},
 			listener{"peers", s.Listen.Peers, true})
 	}
+	if s.Listen.ForwardPeers != "" {
+		listeners = append(listeners, listener{"forward_peers", s.Listen.ForwardPeers, true})
+	}
 	for _, l := range listeners {
 		if err := checkListenAddress(path, l); err != nil {
 			return err
@@ -43,6 +46,10 @@
 	if err := checkOptionalListenAddress(path, "ready", s.Listen.Ready); err != nil {
 		return err
 	}
+	if s.Listen.ForwardPeers != "" && s.Listen.Forward == "" {
+		return &Error{File: path, Section: "listen", Key: "forward_peers",
+			Detail: "needs the setting forward: a node that forwards no requests takes none from other nodes"}
+	}
 	if s.Listen.Forward != "" && len(s.Discovery.Seeds) == 0 {
 		return &Error{File: path, Section: "discovery", Key: "seeds",
 			Detail: "is missing: an entry node that forwards requests needs the address of at least one control process"}
--- a/internal/settings/load_errors_test.go
+++ b/internal/settings/load_errors_test.go
@@ -68,6 +68,10 @@
 			"[listen] operators: 10.0.0.1:8081 isn't a loopback address: set the certificates in [tls], or insecure = true there"},
 		{"peers' listener on all addresses", "127.0.0.1:8082", "0.0.0.0:8082",
 			"[listen] peers: 0.0.0.0:8082 isn't a loopback address: set the certificates in [tls], or insecure = true there"},
+		{"forwarding peers' listener not on loopback", "[listen]", "[listen]\nforward_peers = 10.0.0.1:8083\nforward = 127.0.0.1:8084",
+			"[listen] forward_peers: 10.0.0.1:8083 isn't a loopback address: set the certificates in [tls], or insecure = true there"},
+		{"forwarding peers without forwarding", "[listen]", "[listen]\nforward_peers = 127.0.0.1:8083",
+			"[listen] forward_peers: needs the setting forward: a node that forwards no requests takes none from other nodes"},
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,9 @@
 	// Each is disabled if empty.
 	Forward string `ini:"forward"`
 	Ready   string `ini:"ready"`
+	// ForwardPeers is the listener for requests that other entry nodes pass on to this one.
+	// Without it the node neither takes nor passes on such requests.
+	ForwardPeers string `ini:"forward_peers"`
 }
 
 // Telemetry configures tracing.
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -39,6 +39,9 @@
 	ForwardRequestReleased         = Event{1320, zapcore.InfoLevel, "request out of quarantine", "A target has answered the request since the last crash, so it is served again."}
 	ForwardNoTargetAnswers         = Event{1321, zapcore.WarnLevel, "no target answers", "Several targets have left requests of this node unanswered and no other one has replied since. The fault is on the node's side if other nodes don't log this at the same time. The field since_reply is the time since the last reply."}
 	ForwardTargetsAnswer           = Event{1322, zapcore.InfoLevel, "targets answer again", "A target has replied to a request or a health check. The field since_reply is how long none did."}
+	ForwardMostUnreachable         = Event{1324, zapcore.WarnLevel, "most targets unreachable", "The node can't reach more than half of the targets. It takes no requests from other entry nodes, and passes on those whose targets it doesn't reach."}
+	ForwardMostReachable           = Event{1325, zapcore.InfoLevel, "most targets reachable again", "The node reaches at least half of the targets."}
+	ForwardCancelNotDelivered      = Event{1323, zapcore.WarnLevel, "cancellation not delivered", "The caller of a request that was passed on to another entry node has disconnected, and that node could not be told. It goes on with the request until its deadline or the end of the connection."}
 	ForwardHeaderMalformed         = Event{1313, zapcore.WarnLevel, "malformed header", "A header of a caller or a target could not be parsed and is ignored. Without a deadline the timeout of the route applies; without a load report the node estimates the target's load from its own requests to it."}
 )
 
@@ -50,5 +53,5 @@
 	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
 	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
 	ForwardTargetLeaving, ForwardTargetLimited, ForwardTargetLimitLifted,
-	ForwardRequestCrashedTarget, ForwardRequestQuarantined, ForwardRequestReleased, ForwardNoTargetAnswers, ForwardTargetsAnswer,
+	ForwardRequestCrashedTarget, ForwardRequestQuarantined, ForwardRequestReleased, ForwardNoTargetAnswers, ForwardTargetsAnswer, ForwardCancelNotDelivered, ForwardMostUnreachable, ForwardMostReachable,
 }
--- a/internal/wire/pipe_test.go
+++ b/internal/wire/pipe_test.go
@@ -15,6 +15,8 @@
 // echo is the net/rpc receiver that tests call.
 type echo struct {
 	calls atomic.Int64
+	// released is closed when Hold returns.
+	released chan struct{}
 }
 
 // Args and Reply are the arguments and the reply of echo's methods.
@@ -39,6 +41,22 @@
 	return nil
 }
 
+// HoldArgs are the arguments of Hold.
+type HoldArgs struct {
+	Envelope     Envelope
+	disconnected <-chan struct{}
+}
+
+// BindConnection implements ConnectionBound.
+func (a *HoldArgs) BindConnection(disconnected <-chan struct{}) { a.disconnected = disconnected }
+
+// Hold returns when the connection has ended.
+func (e *echo) Hold(args *HoldArgs, _ *Reply) error {
+	<-args.disconnected
+	close(e.released)
+	return nil
+}
+
 // Fail returns an error.
 func (e *echo) Fail(*Args, *Reply) error {
 	return errors.New("no such lot")
@@ -58,7 +76,7 @@
 
 func newNetwork(t *testing.T) *testNetwork {
 	t.Helper()
-	n := &testNetwork{echo: &echo{}}
+	n := &testNetwork{echo: &echo{released: make(chan struct{})}}
 	n.restart(t)
 	n.client = NewClient(CutDialer(n.connect, n.currentCut))
 	t.Cleanup(func() { n.client.Close(); n.server.Close() })
--- a/internal/wire/servercodec.go
+++ b/internal/wire/servercodec.go
@@ -25,14 +25,34 @@
 
 	mu    sync.Mutex
 	spans map[uint64]trace.Span
+
+	// closed is closed when no more calls can be read.
+	closed  chan struct{}
+	closing sync.Once
+}
+
+// ConnectionBound is implemented by arguments whose method has to know when the connection
+// of the call ends.
+type ConnectionBound interface {
+	// BindConnection passes a channel that is closed then, before the method is called.
+	BindConnection(disconnected <-chan struct{})
 }
 
 func newServerCodec(conn net.Conn, timeouts Timeouts, limit int) *serverCodec {
-	return &serverCodec{stream: newStream(conn, limit), timeouts: timeouts, spans: map[uint64]trace.Span{}}
+	return &serverCodec{stream: newStream(conn, limit), timeouts: timeouts, spans: map[uint64]trace.Span{}, closed: make(chan struct{})}
 }
 
-// ReadRequestHeader implements rpc.ServerCodec.
+// ReadRequestHeader implements rpc.ServerCodec. net/rpc closes the codec only after the
+// calls in progress, so an error here is the first sign that the connection has ended.
 func (c *serverCodec) ReadRequestHeader(header *rpc.Request) error {
+	err := c.readHeader(header)
+	if err != nil {
+		c.closing.Do(func() { close(c.closed) })
+	}
+	return err
+}
+
+func (c *serverCodec) readHeader(header *rpc.Request) error {
 	if c.desynchronized {
 		return io.EOF
 	}
@@ -67,6 +87,9 @@
 		c.desynchronized = true
 		return err
 	}
+	if bound, ok := body.(ConnectionBound); ok {
+		bound.BindConnection(c.closed)
+	}
 	if body != nil {
 		span := startServerSpan(c.method, body)
 		c.mu.Lock()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -37,6 +37,19 @@
 	})
 }
 
+// TestBoundCallLearnsThatItsConnectionEnded closes the client while a call is in progress.
+func TestBoundCallLearnsThatItsConnectionEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		held := make(chan error, 1)
+		go func() { held <- n.client.Call(t.Context(), "peer", "Echo.Hold", &HoldArgs{}, &Reply{}) }()
+		synctest.Wait()
+		n.client.Close()
+		assert.Check(t, <-held != nil)
+		<-n.echo.released
+	})
+}
+
 // TestSilentConnectionIsDetectedAndReplaced discards all data on a connection while a
 // call waits for its reply, as when a relay has lost the connection's state. The call
 // must fail within the keep-alive times and the next call must dial.
