Tell control processes a node's address for peers only when it changes

Each poll carried the address at which a node takes requests from other nodes. Now it is sent when it has changed or when a control process asks for it, as after its restart.

--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -254,7 +254,9 @@
 	now := time.Now()
 	n.directory.mu.Lock()
 	fresh := n.directory.watchers.RecordPoll(now, args.Node, args.Kind, args.DataCentre, since)
-	n.directory.watchers.SetPeerAddress(args.Node, args.PeerAddress)
+	if args.TellsPeerAddress {
+		n.directory.watchers.SetPeerAddress(args.Node, args.PeerAddress)
+	}
 	gone := n.directory.watchers.Expire(now)
 	n.directory.mu.Unlock()
 	if fresh {
--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -39,6 +39,7 @@
 	if reply.VerdictsChecksum = d.quarantine.Checksum(); args.Kind == discovery.WatcherEntry && reply.VerdictsChecksum != args.VerdictsChecksum {
 		reply.Verdicts = d.quarantine.Verdicts()
 	}
+	reply.WantPeerAddress = args.Kind == discovery.WatcherEntry && !d.watchers.KnowsPeerAddress(args.Node)
 	if args.WantPeers {
 		reply.EntryPeers = d.watchers.PeersOf(time.Now(), args.Node, args.DataCentre)
 	}
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -95,9 +95,12 @@
 	VerdictsChecksum uint64
 	Verdicts         []quarantine.Verdict
 	// PeerAddress is the address at which an entry node takes requests from other entry
-	// nodes, empty while it takes none. WantPeers requests EntryPeers.
-	PeerAddress string
-	WantPeers   bool
+	// nodes, empty while it takes none. It is sent if TellsPeerAddress is set: when it has
+	// changed or the control process's last reply asked for it.
+	PeerAddress      string
+	TellsPeerAddress bool
+	// WantPeers requests EntryPeers.
+	WantPeers bool
 	// WaitMS is how long the call may be held until there is a change, in
 	// milliseconds.
 	WaitMS int64
@@ -142,6 +145,8 @@
 	// EntryRank is the rank of an entry node that watches among those of its data centre,
 	// sorted by name, from 0.
 	EntryRank int
+	// WantPeerAddress requests the watcher's PeerAddress with its next poll.
+	WantPeerAddress bool
 	// EntryPeers are entry nodes that the watcher may pass requests on to, if it wants them.
 	EntryPeers []discovery.EntryPeer
 	// VerdictsChecksum is the checksum of the verdicts on requests that crash targets,
--- a/internal/discovery/entrypeers.go
+++ b/internal/discovery/entrypeers.go
@@ -27,10 +27,16 @@
 // nodes, "" for none.
 func (w *Watchers) SetPeerAddress(node, address string) {
 	if known := w.byNode[node]; known != nil {
-		known.peerAddress = address
+		known.peerAddress, known.peerAddressKnown = address, true
 	}
 }
 
+// KnowsPeerAddress reports whether a live watcher has told its address.
+func (w *Watchers) KnowsPeerAddress(node string) bool {
+	known := w.byNode[node]
+	return known != nil && known.peerAddressKnown
+}
+
 // PeersOf returns entry nodes that a node may pass requests on to, those of its own data
 // centre first. Each node gets others, so that requests are spread if many nodes pass them
 // on.
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -159,6 +159,10 @@
 	// its start, verdictsChecksum that of the verdicts it knows.
 	crashReportsSent uint64
 	verdictsChecksum uint64
+	// peerAddressTold is set if the process knows peerAddress as the watcher's address for
+	// requests of other entry nodes.
+	peerAddress     string
+	peerAddressTold bool
 	// wantsTable is set if the last reply requested the watcher's routing table.
 	wantsTable bool
 	// lastListed is when a reply or the settings last listed the process.
@@ -276,7 +280,10 @@
 	if w.cfg.Peering != nil {
 		peering = w.cfg.Peering()
 	}
-	args.PeerAddress, args.WantPeers = peering.Address, peering.Urgent || peering.WantsPeers && !args.Aside
+	args.WantPeers = peering.Urgent || peering.WantsPeers && !args.Aside
+	if !p.peerAddressTold || p.peerAddress != peering.Address {
+		args.TellsPeerAddress, args.PeerAddress = true, peering.Address
+	}
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
@@ -292,6 +299,7 @@
 	if succeeded {
 		p.withdrawalsSent, p.restarted = withdrawalsSent, false
 		p.crashReportsSent, p.verdictsChecksum = crashReportsSent, reply.VerdictsChecksum
+		p.peerAddress, p.peerAddressTold = peering.Address, !reply.WantPeerAddress
 		p.restoreOmitted(&reply)
 		w.cfg.OnReply(address, &reply)
 		w.updateRevision(p, args.Aside, &reply)
--- a/internal/discovery/watchers.go
+++ b/internal/discovery/watchers.go
@@ -26,8 +26,9 @@
 	revision   uint64
 	lastPoll   time.Time
 	// peerAddress is the address at which an entry node takes requests from others, ""
-	// if it takes none.
-	peerAddress string
+	// if it takes none. peerAddressKnown is set once the node has told it.
+	peerAddress      string
+	peerAddressKnown bool
 }
 
 // NewWatchers returns an empty set. A watcher that has not polled for longer than
@@ -45,7 +46,7 @@
 		w.byNode[node] = known
 	}
 	isNew := known.lastPoll.IsZero()
-	*known = watcher{kind: kind, dataCentre: dataCentre, revision: revision, lastPoll: now}
+	known.kind, known.dataCentre, known.revision, known.lastPoll = kind, dataCentre, revision, now
 	return isNew
 }
 
