Calls between entry nodes as a package of their own

The JSON API needs the same calls as forwarded requests: one ID each, cancelled when the caller leaves, ended with their connection. They move from the forwarder to internal/entry/peercall. No change of behaviour.

--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -9,64 +9,43 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
-	"go.uber.org/zap"
 
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/discovery/watch"
 	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/entry/peercall"
 	"wigeonbay/internal/entryrpc"
 	"wigeonbay/internal/quarantine"
-	"wigeonbay/internal/telemetry"
 	"wigeonbay/internal/wire"
 )
 
-const (
-	// peersLearnTime is how long after its start a node asks for peers, while other nodes
-	// may start too. Later it does so only if it needs them.
-	peersLearnTime = 10 * time.Second
-	// cancelTimeout limits the call that cancels a delegation.
-	cancelTimeout = time.Second
-	// maxEarlyCancels limits the cancellations that are kept because the call that they
-	// cancel has not begun: calls of one connection are handled concurrently.
-	maxEarlyCancels = 64
-)
-
-// errCancelled is returned to a peer that has cancelled its call.
-var errCancelled = errors.New("the call was cancelled")
+// peersLearnTime is how long after its start a node asks for peers, while other nodes
+// may start too. Later it does so only if it needs them.
+const peersLearnTime = 10 * time.Second
 
 // peering passes requests on to other entry nodes and takes theirs. Its maps are guarded by
 // the node's mutex.
 type peering struct {
 	node   *Node
-	client *wire.Client
+	client *peercall.Client
 	server *wire.Server
-	// start number and last number of this node's calls.
-	startNumber uint64
 	// lists holds the peers that each control process named last, by its address.
 	lists map[string][]discovery.EntryPeer
 	// cancels ends delegations in progress; responses holds the response of one until the
 	// state machine has handled its end.
 	cancels   map[forward.DelegationID]context.CancelFunc
 	responses map[forward.DelegationID]*entryrpc.Response
-
-	callsMu sync.Mutex
-	// calls ends the calls of peers in progress; earlyCancels holds those that were
-	// cancelled before they began.
-	calls        map[entryrpc.CallID]context.CancelFunc
-	earlyCancels []entryrpc.CallID
 }
 
 func newPeering(n *Node) *peering {
 	return &peering{
-		node: n, client: wire.NewClient(n.cfg.Dial), startNumber: rand.Uint64(),
+		node: n, client: peercall.NewClient(n.cfg.Settings.Node.ID, wire.NewClient(n.cfg.Dial), n.logger),
 		lists:     map[string][]discovery.EntryPeer{},
 		cancels:   map[forward.DelegationID]context.CancelFunc{},
 		responses: map[forward.DelegationID]*entryrpc.Response{},
-		calls:     map[entryrpc.CallID]context.CancelFunc{},
 	}
 }
 
@@ -84,7 +63,7 @@
 		listener = p.node.cfg.WrapPeers(listener)
 	}
 	p.server = wire.NewServer()
-	if err := p.server.Register("Entry", &peerService{p}); err != nil {
+	if err := peercall.Register(p.server, p.serve); err != nil {
 		return errors.Join(err, listener.Close())
 	}
 	p.server.Serve(listener)
@@ -166,7 +145,6 @@
 	}
 	r := pending.incoming
 	args := &entryrpc.ForwardArgs{
-		ID:     entryrpc.CallID{Node: n.cfg.Settings.Node.ID, Start: p.startNumber, Number: uint64(e.Delegation)},
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: pending.body,
 		TimeLeftUS: time.Until(e.PeerDeadline).Microseconds(), TableVersion: e.TableVersion, Attempts: e.Attempts, Repeated: e.Repeated,
 		AgeUS: e.Age.Microseconds(), DelayUS: e.Delay.Microseconds(),
@@ -175,16 +153,12 @@
 	p.cancels[e.Delegation] = cancel
 	go func() {
 		defer cancel()
-		var reply entryrpc.ForwardReply
-		err := p.client.Call(ctx, e.Peer.Address, entryrpc.MethodForward, args, &reply)
-		if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, wire.ErrNotSent) {
-			p.sendCancel(e.Peer.Address, args.ID)
-		}
+		reply, err := p.client.Forward(ctx, e.Peer.Address, args)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(p.cancels, e.Delegation)
 		p.responses[e.Delegation] = reply.Response
-		n.stepLocked(n.delegationEnded(e.Delegation, &reply, err))
+		n.stepLocked(n.delegationEnded(e.Delegation, reply, err))
 		delete(p.responses, e.Delegation)
 	}()
 }
@@ -196,16 +170,6 @@
 	}
 }
 
-// sendCancel tells a peer that nobody waits for a response any more. A failure is not
-// retried: the peer ends the work at the deadline, or when the connection ends.
-func (p *peering) sendCancel(address string, id entryrpc.CallID) {
-	ctx, cancel := context.WithTimeout(p.node.ctx, cancelTimeout)
-	defer cancel()
-	if err := p.client.Call(ctx, address, entryrpc.MethodCancel, &entryrpc.CancelArgs{ID: id}, &entryrpc.CancelReply{}); err != nil {
-		telemetry.ForwardCancelNotDelivered.Log(p.node.logger, zap.String("peer", address), zap.Error(err))
-	}
-}
-
 // delegationEnded returns the event for the end of a call to a peer.
 func (n *Node) delegationEnded(id forward.DelegationID, reply *entryrpc.ForwardReply, err error) forward.DelegationEnded {
 	ended := forward.DelegationEnded{Delegation: id, Outcome: forward.DelegationLost, Stopping: reply.Stopping}
@@ -223,12 +187,9 @@
 	return ended
 }
 
-// peerService serves the calls of other entry nodes.
-type peerService struct{ p *peering }
-
-// Forward forwards a request for another entry node.
-func (s *peerService) Forward(args *entryrpc.ForwardArgs, reply *entryrpc.ForwardReply) error {
-	n := s.p.node
+// serve forwards a request for another entry node.
+func (p *peering) serve(ctx context.Context, args *entryrpc.ForwardArgs, deadline time.Time, reply *entryrpc.ForwardReply) error {
+	n := p.node
 	reply.Stopping = n.draining.Load()
 	if n.refusing.Load() {
 		reply.Refusal = &entryrpc.Refusal{Status: http.StatusServiceUnavailable, Reason: string(forward.ReasonShutdown), RetryAfter: shutdownRetry}
@@ -238,26 +199,12 @@
 	if err != nil {
 		return fmt.Errorf("URI of a request: %w", err)
 	}
-	deadline := time.Now().Add(min(time.Duration(args.TimeLeftUS)*time.Microsecond, maxDeadline))
-	ctx, cancel := args.Envelope.Context(maxDeadline)
-	defer cancel()
-	if !s.p.begin(args.ID, cancel) {
-		return errCancelled
-	}
-	defer s.p.end(args.ID)
-	go func() {
-		select {
-		case <-args.Disconnected():
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	// A shutdown waits for a while after this, in which the response is sent.
 	defer func() { n.lastArrival.Store(int64(time.Since(n.created))) }()
 	a, ok := n.forwardForPeer(ctx, args, target, deadline)
 	switch {
 	case !ok:
-		return errCancelled
+		return peercall.ErrCancelled
 	case a.refusal != nil:
 		reply.Refusal = &entryrpc.Refusal{Status: a.refusal.Status, Reason: string(a.refusal.Reason), RetryAfter: a.refusal.RetryAfter}
 	default:
@@ -294,36 +241,3 @@
 		},
 	})
 }
-
-// Cancel ends a call of Forward.
-func (s *peerService) Cancel(args *entryrpc.CancelArgs, _ *entryrpc.CancelReply) error {
-	p := s.p
-	p.callsMu.Lock()
-	defer p.callsMu.Unlock()
-	if cancel := p.calls[args.ID]; cancel != nil {
-		cancel()
-		return nil
-	}
-	if len(p.earlyCancels) == maxEarlyCancels {
-		p.earlyCancels = p.earlyCancels[1:]
-	}
-	p.earlyCancels = append(p.earlyCancels, args.ID)
-	return nil
-}
-
-// begin registers a call, and reports whether it has not been cancelled already.
-func (p *peering) begin(id entryrpc.CallID, cancel context.CancelFunc) bool {
-	p.callsMu.Lock()
-	defer p.callsMu.Unlock()
-	if slices.Contains(p.earlyCancels, id) {
-		return false
-	}
-	p.calls[id] = cancel
-	return true
-}
-
-func (p *peering) end(id entryrpc.CallID) {
-	p.callsMu.Lock()
-	defer p.callsMu.Unlock()
-	delete(p.calls, id)
-}
