JSON API passes searches and submits on when no target answers the node

Same cause and class as for forwarded requests: a node that is cut off from all targets decided on its own path alone.

The node uses the same detector (internal/entry/isolation) and calls (internal/entry/peercall) as for forwarded requests. A submit is passed on before its key is claimed, so the peer claims it and the ledger keeps it from running twice.

--- a/cmd/wigeon-entry/forwarding.go
+++ b/cmd/wigeon-entry/forwarding.go
@@ -30,20 +30,11 @@
 		DecodeTable: platform.DecodeTable,
 		Metrics:     metrics,
 		Dial:        security.DialWithCuts(config.Testing.CutFile),
-		DialTargets: dialTargets(config.Testing.CutFile),
+		DialTargets: pool.Dial(wire.DialWithCuts(pool.DialTCP, config.Testing.CutFile)),
 		WrapPeers:   security.Wrap,
 	})
 }
 
-// dialTargets returns the function that opens connections to targets, nil for the usual
-// one. It injects the failures that a file lists unless its name is empty.
-func dialTargets(cutFile string) pool.Dial {
-	if cutFile == "" {
-		return nil
-	}
-	return pool.Dial(wire.CutDialer(pool.DialTCP, wire.CutFile(cutFile)))
-}
-
 // registerForwarding registers the node's start and stop hooks and publishes its
 // counters after the start.
 func registerForwarding(lifecycle fx.Lifecycle, node *forwarder.Node) {
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -24,6 +24,13 @@
 // first requests, or is queued if other searches are waiting.
 func (s *State) handleSearchArrived(ev SearchArrived) {
 	s.counters.Searches++
+	if problem := s.rejectPassedOn(ev.PassedOn, ev.Seed); problem != nil {
+		s.refuse(ev.Query, problem)
+		return
+	}
+	if ev.PassedOn == nil && s.passOn(&passedOn{query: ev.Query, seed: ev.Seed, deadline: ev.Deadline}) {
+		return
+	}
 	svc, problem := s.routeRequest(ev.Service, ev.Caller, ev.Seed)
 	if problem == nil {
 		problem = s.admitSearch(svc, ev)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -143,6 +143,7 @@
 	s.attempts[a.id] = a
 	q.outstanding = append(q.outstanding, a)
 	r.target.RecordSent(uint64(a.id), s.now, len(shards))
+	s.recordSent(r.target.ID(), s.expectedExecution(q.service))
 	s.countRequest(q.service, r.extra)
 	for _, g := range r.groups {
 		q.groups[g].phase = groupSent
--- a/internal/entry/driver/callers.go
+++ b/internal/entry/driver/callers.go
@@ -45,6 +45,7 @@
 	r.HandleFunc("/readyz", n.serveReady).Methods(http.MethodGet)
 	r.NotFoundHandler = problemHandler(http.StatusNotFound, "no such path")
 	r.MethodNotAllowedHandler = problemHandler(http.StatusMethodNotAllowed, "this path does not take this method")
+	n.router = r
 	spanName := func(operation string, _ *http.Request) string { return operation }
 	return otelhttp.NewHandler(n.closeWhenDraining(r), "entry.request", otelhttp.WithSpanNameFormatter(spanName))
 }
@@ -75,13 +76,18 @@
 		return
 	}
 	query := entry.QueryID(n.lastQuery.Add(1))
-	a := n.awaitAnswer(query, &waiter{ctx: r.Context(), search: body, id: id}, entry.SearchArrived{
+	a := n.awaitAnswer(query, &waiter{ctx: r.Context(), search: body, id: id, request: r}, entry.SearchArrived{
 		Query:    query,
 		Service:  mux.Vars(r)["service"],
 		Caller:   callerName(r),
 		Deadline: deadline,
 		Seed:     rand.Uint64(),
+		PassedOn: passedOn(r),
 	})
+	if a.passedOn != nil {
+		writePeerResponse(w, a.passedOn)
+		return
+	}
 	if a.problem != nil {
 		writeProblem(w, id, a.problem)
 		return
@@ -122,7 +128,7 @@
 	}
 	service := mux.Vars(r)["service"]
 	query := entry.QueryID(n.lastQuery.Add(1))
-	a := n.awaitAnswer(query, &waiter{ctx: r.Context(), submit: body, id: id}, entry.SubmitArrived{
+	a := n.awaitAnswer(query, &waiter{ctx: r.Context(), submit: body, id: id, request: r}, entry.SubmitArrived{
 		Query:       query,
 		Service:     service,
 		Caller:      callerName(r),
@@ -133,7 +139,12 @@
 		Deadline:    deadline,
 		QuorumAge:   n.peers.quorumAge(),
 		Seed:        rand.Uint64(),
+		PassedOn:    passedOn(r),
 	})
+	if a.passedOn != nil {
+		writePeerResponse(w, a.passedOn)
+		return
+	}
 	if a.problem != nil {
 		writeProblem(w, id, a.problem)
 		return
--- a/internal/entry/driver/effects.go
+++ b/internal/entry/driver/effects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -12,6 +13,7 @@
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/entry"
 	"wigeonbay/internal/entry/gather"
+	"wigeonbay/internal/entryrpc"
 	"wigeonbay/internal/telemetry"
 )
 
@@ -51,6 +53,14 @@
 		n.sendSubmit(e)
 	case entry.RecordOutcome:
 		n.recordOutcome(e)
+	case entry.PassOn:
+		n.passOn(e)
+	case entry.CancelPassOn:
+		n.cancelPassOn(e.Query)
+	case entry.AnswerFromPeer:
+		n.answerFromPeer(e.Query)
+	case entry.ProbeTarget:
+		n.probeTarget(e)
 	case entry.AnswerSubmit:
 		n.deliverAnswer(e.Query, answer{submit: &e})
 	case entry.SetConnections:
@@ -81,6 +91,11 @@
 	submit api.SubmitRequest
 	id     string
 	done   chan answer
+	// request is the caller's. response is the last one of a peer that the request was
+	// passed on to, and cancelPassOn ends the call to that peer.
+	request      *http.Request
+	response     *entryrpc.Response
+	cancelPassOn context.CancelFunc
 }
 
 // answer is the answer to a caller: a problem, or the answer to a search or to a
@@ -91,6 +106,8 @@
 	// parts are the replies that a search answer is merged from.
 	parts  []gather.AcceptedReply
 	submit *entry.AnswerSubmit
+	// passedOn is the response of another entry node.
+	passedOn *entryrpc.Response
 }
 
 // awaitAnswer passes the event of a new request to the reducer and waits for the
@@ -196,6 +213,8 @@
 
 func (n *Node) logEvent(e entry.LogEvent) {
 	events := map[entry.LogEventKind]telemetry.Event{
+		entry.LogNoTargetAnswers:   telemetry.EntryNoTargetAnswers,
+		entry.LogTargetsAnswer:     telemetry.EntryTargetsAnswer,
 		entry.LogTargetEjected:     telemetry.EntryTargetEjected,
 		entry.LogTargetReadmitted:  telemetry.EntryTargetReadmitted,
 		entry.LogTargetUnreachable: telemetry.EntryTargetUnreachable,
--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -16,6 +16,7 @@
 
 	"wigeonbay/internal/api"
 	"wigeonbay/internal/entry"
+	"wigeonbay/internal/entry/peercall"
 	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/entry/route"
 	"wigeonbay/internal/httpdrain"
@@ -45,7 +46,10 @@
 	client   *wire.Client
 	security wire.Security
 	ledger   *ledgerClient
-	peers    *peers
+	// passOnCalls passes requests on to other entry nodes, router serves theirs.
+	passOnCalls *peercall.Client
+	router      http.Handler
+	peers       *peers
 
 	// mu guards state, the maps below and readiness.
 	mu      sync.Mutex
@@ -99,12 +103,13 @@
 		stop:     stop,
 	}
 	n.ledger = newLedgerClient(config, n.client)
+	n.passOnCalls = peercall.NewClient(config.Node.ID, wire.NewClient(security.DialWithCuts(config.Testing.CutFile)), logger)
 	return n, nil
 }
 
 // Start opens the listeners and joins the other entry nodes.
 func (n *Node) Start(ctx context.Context) error {
-	n.pool = pool.New(nil)
+	n.pool = pool.New(pool.Dial(wire.DialWithCuts(pool.DialTCP, n.settings.Testing.CutFile)))
 	if err := n.listen(ctx); err != nil {
 		return err
 	}
@@ -128,6 +133,7 @@
 	n.ledger.awaitRecords(ctx)
 	n.peers.stop(ctx)
 	n.stop()
+	n.passOnCalls.Close()
 	n.rpc.Close()
 	n.client.Close()
 	n.pool.Close()
@@ -171,8 +177,12 @@
 	if err := n.peers.register(n.rpc); err != nil {
 		return err
 	}
+	handler := n.callersHandler()
+	if err := peercall.Register(n.rpc, n.serveForPeer); err != nil {
+		return err
+	}
 	n.rpc.Serve(n.security.Wrap(rpc))
-	n.callers = n.serve(callers, n.callersHandler())
+	n.callers = n.serve(callers, handler)
 	return nil
 }
 
--- a/internal/entry/driver/peers.go
+++ b/internal/entry/driver/peers.go
@@ -132,7 +132,7 @@
 
 func (p *peers) handleMembershipChange(change membership.Change) {
 	if change.Members != nil {
-		p.node.step(entry.MembersChanged{PerDataCentre: countMembers(change.Members)})
+		p.node.step(entry.MembersChanged{PerDataCentre: countMembers(change.Members), Peers: p.livePeers(change.Members)})
 	}
 	for _, a := range change.Targets {
 		p.node.step(entry.TargetChanged{Announcement: a})
@@ -150,6 +150,17 @@
 	return count
 }
 
+// livePeers returns the other entry nodes that are alive.
+func (p *peers) livePeers(all []api.EntryMember) []entry.Peer {
+	var live []entry.Peer
+	for _, m := range all {
+		if m.ID != p.node.settings.Node.ID && membership.IsAlive(m) {
+			live = append(live, entry.Peer{ID: m.ID, DataCentre: m.DataCentre, Address: m.Address})
+		}
+	}
+	return live
+}
+
 func (p *peers) handleConfig(config api.Configuration, _ time.Duration) {
 	p.node.InstallConfig(config)
 }
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -62,6 +62,27 @@
 	Problem *api.Problem
 }
 
+// PassOn passes a request on to another entry node.
+type PassOn struct {
+	Query QueryID
+	Peer  Peer
+	// Deadline is when the peer must have answered.
+	Deadline      time.Time
+	ConfigVersion uint64
+}
+
+// CancelPassOn ends a PassOn whose caller has disconnected.
+type CancelPassOn struct{ Query QueryID }
+
+// AnswerFromPeer answers a request with the last response of a peer.
+type AnswerFromPeer struct{ Query QueryID }
+
+// ProbeTarget sends a health check to a target.
+type ProbeTarget struct {
+	Target  api.TargetID
+	Address string
+}
+
 // DiscardReply drops the stored reply of an attempt that does not enter an
 // answer.
 type DiscardReply struct{ Attempt AttemptID }
@@ -148,6 +169,10 @@
 const (
 	// LogTargetEjected reports a target ejected as an outlier.
 	LogTargetEjected LogEventKind = iota
+	// LogNoTargetAnswers reports that no target answers this node, LogTargetsAnswer that
+	// one does again.
+	LogNoTargetAnswers
+	LogTargetsAnswer
 	// LogTargetReadmitted reports an ejected target that gets work again.
 	LogTargetReadmitted
 	// LogTargetUnreachable reports a target with several consecutive failures,
@@ -174,4 +199,8 @@
 func (SetConnections) effect()   {}
 func (CloseConnections) effect() {}
 func (ReportTarget) effect()     {}
+func (PassOn) effect()           {}
+func (CancelPassOn) effect()     {}
+func (AnswerFromPeer) effect()   {}
+func (ProbeTarget) effect()      {}
 func (LogEvent) effect()         {}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -25,6 +25,8 @@
 	// PerDataCentre counts the entry nodes of each data centre, including
 	// suspected and unreachable ones.
 	PerDataCentre map[string]int
+	// Peers are the other live entry nodes, to which requests may be passed on.
+	Peers []Peer
 }
 
 // TargetChanged delivers a target's newest announcement.
@@ -39,6 +41,20 @@
 	// Seed is a random number for the percentages of routing rules and for
 	// retry jitter.
 	Seed uint64
+	// PassedOn is set if a peer has passed the request on.
+	PassedOn *PassedOn
+}
+
+// PassOnEnded is the end of a PassOn.
+type PassOnEnded struct {
+	Query   QueryID
+	Outcome PassOnOutcome
+}
+
+// ProbeEnded is the end of a ProbeTarget. Answered reports that the target has replied.
+type ProbeEnded struct {
+	Target   api.TargetID
+	Answered bool
 }
 
 // SearchCancelled reports that the caller of a search has disconnected.
@@ -115,6 +131,7 @@
 	// is negative if unknown.
 	QuorumAge time.Duration
 	Seed      uint64
+	PassedOn  *PassedOn
 }
 
 // ClaimDecided is the ledger's decision on a claim. If Result is not OK, the
@@ -157,4 +174,6 @@
 func (ClaimDecided) event()       {}
 func (SubmitReplied) event()      {}
 func (OutcomeRecorded) event()    {}
+func (PassOnEnded) event()        {}
+func (ProbeEnded) event()         {}
 func (Tick) event()               {}
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -153,6 +153,11 @@
 
 // handleSearchCancelled ends a search whose caller has disconnected.
 func (s *State) handleSearchCancelled(ev SearchCancelled) {
+	if s.passed[ev.Query] != nil {
+		delete(s.passed, ev.Query)
+		s.emit(CancelPassOn{Query: ev.Query})
+		return
+	}
 	q := s.searches[ev.Query]
 	if q == nil {
 		return
--- a/internal/entry/reduce.go
+++ b/internal/entry/reduce.go
@@ -11,6 +11,7 @@
 func (s *State) Reduce(now time.Time, ev Event) []Effect {
 	s.now = now
 	s.effects = s.effects[:0]
+	s.isolation.Advance(now)
 	switch ev := ev.(type) {
 	case ConfigInstalled:
 		s.handleConfigInstalled(ev)
@@ -30,6 +31,10 @@
 		s.handleAttemptFailed(ev)
 	case ConnectionsChecked:
 		s.handleConnectionsChecked(ev)
+	case PassOnEnded:
+		s.handlePassOnEnded(ev)
+	case ProbeEnded:
+		s.handleProbeEnded(ev)
 	case SubmitArrived:
 		s.handleSubmitArrived(ev)
 	case ClaimDecided:
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -27,6 +27,7 @@
 // recordReply updates the statistics of the target and the service after a
 // valid reply.
 func (s *State) recordReply(a *attempt, h TargetHeader) {
+	s.recordAnswer()
 	took := s.now.Sub(a.started)
 	wasReachable := a.target.Reachable()
 	a.target.RecordReply(uint64(a.id), s.now, h.InFlight)
@@ -84,6 +85,9 @@
 		return
 	}
 	delete(s.attempts, ev.Attempt)
+	if ev.Kind == FailureRefused || ev.Kind == FailureBadReply {
+		s.recordAnswer()
+	}
 	connectionFault := ev.Reused && a.target.SilentConnection(uint64(a.id), s.now)
 	s.recordFailure(a, ev, connectionFault)
 	s.applyHeader(a.target, ev.Header)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/isolation"
 	"wigeonbay/internal/entry/latency"
 	"wigeonbay/internal/entry/limit"
 	"wigeonbay/internal/entry/route"
@@ -34,6 +35,16 @@
 	// claimBreaker refuses submits immediately while the ledger has no quorum.
 	claimBreaker limit.Breaker
 
+	// peers are the other live entry nodes; peerAvoidedUntil holds the time, by ID, until
+	// which one gets no requests.
+	peers            []Peer
+	peerAvoidedUntil map[string]time.Time
+	passed           map[QueryID]*passedOn
+	isolation        isolation.Detector
+	unanswered       map[api.TargetID]isolation.Marker
+	// probing holds the targets with a health check in progress.
+	probing map[api.TargetID]bool
+
 	lastAttempt AttemptID
 	effects     []Effect
 	counters    Counters
@@ -56,6 +67,8 @@
 	Submits          uint64 `json:"submits"`
 	SubmitsRan       uint64 `json:"submits_ran"`
 	SubmitsUnknown   uint64 `json:"submits_unknown"`
+	// PassedOn counts requests passed on to peers, each time.
+	PassedOn uint64 `json:"passed_on"`
 }
 
 // service is the state of one service.
@@ -157,7 +170,7 @@
 
 // New returns the state of a node without configuration and targets.
 func New(options Options) *State {
-	return &State{
+	s := &State{
 		options:  options,
 		members:  map[string]int{options.DataCentre: 1},
 		targets:  map[api.TargetID]*route.Target{},
@@ -166,6 +179,8 @@
 		submits:  map[QueryID]*submit{},
 		attempts: map[AttemptID]*attempt{},
 	}
+	s.initPassOn()
+	return s
 }
 
 // Counters returns a copy of the counters.
@@ -176,7 +191,7 @@
 // InProgress returns the number of callers' requests that have not been
 // answered.
 func (s *State) InProgress() int {
-	return len(s.searches) + len(s.submits)
+	return len(s.searches) + len(s.submits) + len(s.passed)
 }
 
 // ConfigVersion returns the version of the configuration in force.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -67,6 +67,13 @@
 // request sent without a claim could run a second time through another node.
 func (s *State) handleSubmitArrived(ev SubmitArrived) {
 	s.counters.Submits++
+	if problem := s.rejectPassedOn(ev.PassedOn, ev.Seed); problem != nil {
+		s.refuse(ev.Query, problem)
+		return
+	}
+	if ev.PassedOn == nil && s.passOn(&passedOn{query: ev.Query, submit: true, seed: ev.Seed, deadline: ev.Deadline}) {
+		return
+	}
 	svc, problem := s.routeRequest(ev.Service, ev.Caller, ev.Seed)
 	if problem == nil {
 		problem = s.admitSubmit(svc, ev)
@@ -196,6 +203,7 @@
 	sub.phase = submitSent
 	sub.tried[t.ID()] = true
 	t.RecordSent(uint64(a.id), s.now, 1)
+	s.recordSent(t.ID(), s.expectedExecution(sub.service))
 	s.emit(SendSubmit{
 		Attempt:           a.id,
 		Query:             sub.request.Query,
@@ -230,6 +238,7 @@
 		return
 	}
 	delete(s.attempts, ev.Attempt)
+	s.recordAnswer()
 	a.target.RecordReply(uint64(a.id), s.now, ev.Header.InFlight)
 	s.applyHeader(a.target, ev.Header)
 	s.counters.SubmitsRan++
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -62,7 +62,7 @@
 // handleMembersChanged updates the numbers of entry nodes, among which the
 // connections and slots of targets are divided.
 func (s *State) handleMembersChanged(ev MembersChanged) {
-	s.members = ev.PerDataCentre
+	s.members, s.peers = ev.PerDataCentre, ev.Peers
 	for _, t := range s.targets {
 		s.configureTarget(t)
 	}
@@ -126,6 +126,7 @@
 func (s *State) removeTarget(t *route.Target) {
 	t.Announced.State = api.TargetGone
 	delete(s.targets, t.ID())
+	delete(s.unanswered, t.ID())
 	svc := s.services[t.Announced.Service]
 	svc.targets = slices.DeleteFunc(svc.targets, func(x *route.Target) bool { return x == t })
 	svc.index = nil
@@ -202,6 +203,7 @@
 // handleTick updates connection shares, ejects outliers and dispatches waiting
 // searches.
 func (s *State) handleTick() {
+	s.checkIsolation()
 	for _, t := range s.targets {
 		before := t.Connections.Current()
 		a := t.Announced
--- a/internal/membership/driver/service.go
+++ b/internal/membership/driver/service.go
@@ -222,6 +222,9 @@
 	return s.members
 }
 
+// IsAlive reports whether a member is alive and not suspected.
+func IsAlive(m api.EntryMember) bool { return m.State == membership.MemberAlive.String() }
+
 // Targets returns the records of all targets, the gone ones included, with their
 // effective states, sorted by name.
 func (s *Service) Targets() []api.Announcement {
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -13,6 +13,8 @@
 	EntryTargetUnreachable      = Event{1103, zapcore.WarnLevel, "target unreachable", "Several consecutive requests failed because of the target. It gets only trial requests until it replies."}
 	EntrySilentConnection       = Event{1104, zapcore.WarnLevel, "silent connection replaced", "A connection carried no reply while other connections to the same target did, and was closed. If this repeats often, look for a network problem between the VMs and the targets."}
 	EntrySnapshotMismatch       = Event{1105, zapcore.ErrorLevel, "reply for another snapshot discarded", "A target replied for a snapshot that was not requested; the reply was not merged."}
+	EntryNoTargetAnswers        = Event{1106, zapcore.WarnLevel, "no target answers", "Several targets have left requests of this node unanswered and no other one has replied since. The node passes searches and submits on to other entry nodes."}
+	EntryTargetsAnswer          = Event{1107, zapcore.InfoLevel, "targets answer again", "A target has replied to a request or a health check."}
 	EntryOutcomeNotRecorded     = Event{1201, zapcore.ErrorLevel, "outcome not recorded", "The outcome of a non-idempotent request could not be recorded. Retries with its key are told that the request may have run."}
 )
 
@@ -48,7 +50,7 @@
 // EntryEvents lists the events in this file for Catalogue.
 var EntryEvents = []Event{
 	EntryStarted, EntryStopped, EntryReloadIgnored, EntryOperatorListenerFailed, EntryTargetEjected, EntryTargetReadmitted, EntryTargetUnreachable,
-	EntrySilentConnection, EntrySnapshotMismatch, EntryOutcomeNotRecorded,
+	EntrySilentConnection, EntrySnapshotMismatch, EntryNoTargetAnswers, EntryTargetsAnswer, EntryOutcomeNotRecorded,
 	ForwardStarted, ForwardStopped, ForwardDraining, ForwardSettingsReloaded, ForwardTableInForce,
 	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
 	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
--- a/internal/wire/cut.go
+++ b/internal/wire/cut.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// DialWithCuts returns dial, with the failures that a file lists unless its name is empty.
+func DialWithCuts(dial DialFunc, file string) DialFunc {
+	if file == "" {
+		return dial
+	}
+	return CutDialer(dial, CutFile(file))
+}
+
 // ignoreCurrentSilentOld wraps cut and returns CutNone for a CutSilentOld that applies
 // already, until it has ended.
 func ignoreCurrentSilentOld(cut CutFunc) CutFunc {
--- a/internal/wire/tls.go
+++ b/internal/wire/tls.go
@@ -103,10 +103,7 @@
 // DialWithCuts is like Dial, but the function injects the failures that a file lists;
 // see CutFile. If file is empty, it injects none.
 func (s Security) DialWithCuts(file string) DialFunc {
-	if file == "" {
-		return s.Dial()
-	}
-	return CutDialer(s.Dial(), CutFile(file))
+	return DialWithCuts(s.Dial(), file)
 }
 
 // Wrap adds TLS to listener, unless s is plain TCP.
