Isolated nodes ask for peers once a second; names for requests from peers

An isolated or impaired node polled each control process four times a second. With hundreds of nodes impaired at once, as when most targets are down, control processes of half a core would have had over a thousand polls a second each. Now the first such poll is answered at once and later ones are held as usual. A control process logs which nodes take no requests of others (event 2111).

The request of a peer is FromPeer in events and state; it was Delegated, which is also what the calling node does with a request.

--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -254,14 +254,15 @@
 	now := time.Now()
 	n.directory.mu.Lock()
 	fresh := n.directory.watchers.RecordPoll(now, args.Node, args.Kind, args.DataCentre, since)
-	if args.TellsPeerAddress {
-		n.directory.watchers.SetPeerAddress(args.Node, args.PeerAddress)
-	}
+	peeringChanged := args.TellsPeerAddress && n.directory.watchers.SetPeerAddress(args.Node, args.PeerAddress)
 	gone := n.directory.watchers.Expire(now)
 	n.directory.mu.Unlock()
 	if fresh {
 		telemetry.ControlWatcherConnected.Log(n.logger, zap.String("node", args.Node), zap.String("kind", string(args.Kind)))
 	}
+	if peeringChanged {
+		telemetry.ControlPeerChanged.Log(n.logger, zap.String("node", args.Node), zap.String("address", args.PeerAddress))
+	}
 	for _, node := range gone {
 		telemetry.ControlWatcherLost.Log(n.logger, zap.String("node", node))
 	}
--- a/internal/discovery/entrypeers.go
+++ b/internal/discovery/entrypeers.go
@@ -24,11 +24,15 @@
 )
 
 // SetPeerAddress records at which address a live watcher takes requests from other entry
-// nodes, "" for none.
-func (w *Watchers) SetPeerAddress(node, address string) {
-	if known := w.byNode[node]; known != nil {
-		known.peerAddress, known.peerAddressKnown = address, true
+// nodes, "" for none, and reports whether that has changed since the watcher last told it.
+func (w *Watchers) SetPeerAddress(node, address string) (changed bool) {
+	known := w.byNode[node]
+	if known == nil {
+		return false
 	}
+	changed = known.peerAddressKnown && known.peerAddress != address
+	known.peerAddress, known.peerAddressKnown = address, true
+	return changed
 }
 
 // KnowsPeerAddress reports whether a live watcher has told its address.
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -44,9 +44,6 @@
 	// seconds, so they must reconnect well within that time.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// peersWait replaces pollWait for polls of a watcher that needs peers now: those that
-	// it can use change.
-	peersWait = 250 * time.Millisecond
 	// forgetAfter is how long a control process is polled in spite of failed polls
 	// after a reply or the settings last listed it. After that, the next failed poll
 	// ends the polling.
@@ -163,6 +160,8 @@
 	// requests of other entry nodes.
 	peerAddress     string
 	peerAddressTold bool
+	// sentPeers is set if the last reply has named peers to a watcher that needs them now.
+	sentPeers bool
 	// wantsTable is set if the last reply requested the watcher's routing table.
 	wantsTable bool
 	// lastListed is when a reply or the settings last listed the process.
@@ -287,11 +286,8 @@
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
-	case p.reachable && !args.WantOffers:
+	case p.reachable && !args.WantOffers && (!peering.Urgent || p.sentPeers):
 		args.WaitMS = pollWait.Milliseconds()
-		if peering.Urgent {
-			args.WaitMS = peersWait.Milliseconds()
-		}
 	}
 	var reply controlrpc.WatchReply
 	err := w.cfg.Client.Call(ctx, address, controlrpc.MethodWatch, args, &reply)
@@ -300,6 +296,7 @@
 		p.withdrawalsSent, p.restarted = withdrawalsSent, false
 		p.crashReportsSent, p.verdictsChecksum = crashReportsSent, reply.VerdictsChecksum
 		p.peerAddress, p.peerAddressTold = peering.Address, !reply.WantPeerAddress
+		p.sentPeers = peering.Urgent
 		p.restoreOmitted(&reply)
 		w.cfg.OnReply(address, &reply)
 		w.updateRevision(p, args.Aside, &reply)
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -34,10 +34,10 @@
 func (s *State) handleArrival(ev RequestArrived) {
 	s.counters.Requests++
 	s.checkIsolation()
-	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint, delegated: ev.Delegated}
-	if ev.Delegated != nil {
+	r := &request{id: ev.Request, seed: ev.Seed, arrived: s.now, callerDelay: ev.Delay, fingerprint: ev.Fingerprint, fromPeer: ev.FromPeer}
+	if ev.FromPeer != nil {
 		s.counters.Taken++
-		if reason := s.rejectDelegated(ev.Delegated); reason != "" {
+		if reason := s.rejectFromPeer(ev.FromPeer); reason != "" {
 			s.refuse(r, http.StatusServiceUnavailable, reason, s.addJitter(r, minRetryAfter))
 			return
 		}
@@ -72,8 +72,8 @@
 	}
 	if !ev.Deadline.IsZero() {
 		left := ev.Deadline.Sub(r.arrived)
-		if ev.Delegated != nil {
-			left += ev.Delegated.Age
+		if ev.FromPeer != nil {
+			left += ev.FromPeer.Age
 		}
 		r.returning = r.route.stats.isReturning(left)
 	}
@@ -128,7 +128,7 @@
 	r.pending = len(r.parts)
 	r.attempts = max(1, r.route.config.Attempts)
 	arrived := r.arrived
-	if d := r.delegated; d != nil {
+	if d := r.fromPeer; d != nil {
 		r.attempts = max(1, min(r.attempts, d.Attempts))
 		arrived = arrived.Add(-d.Age)
 	}
@@ -261,7 +261,7 @@
 	s.attempts[a.id] = a
 	if !p.counted {
 		p.counted = true
-		if r.delegated == nil || !r.delegated.Repeated {
+		if r.fromPeer == nil || !r.fromPeer.Repeated {
 			p.pool.budget.recordInitial(s.options.Budget, s.now)
 		}
 	}
--- a/internal/entry/forward/delegate.go
+++ b/internal/entry/forward/delegate.go
@@ -25,8 +25,8 @@
 // DelegationID identifies a delegation within one entry process.
 type DelegationID uint64
 
-// Delegated describes a request that a peer has passed on to this node.
-type Delegated struct {
+// FromPeer describes a request that a peer has passed on to this node.
+type FromPeer struct {
 	// TableVersion is the version of the routing table that must apply.
 	TableVersion uint64
 	// Attempts limits the targets of each pool that the request may be sent to.
@@ -69,10 +69,10 @@
 	reason  Reason
 }
 
-// rejectDelegated returns the reason why this node doesn't take a request from a peer, or
+// rejectFromPeer returns the reason why this node doesn't take a request from a peer, or
 // "". The same routing table must apply on both nodes, or the peer's callers would see an
 // older one after a newer one.
-func (s *State) rejectDelegated(d *Delegated) Reason {
+func (s *State) rejectFromPeer(d *FromPeer) Reason {
 	switch {
 	case d.TableVersion != s.TableVersion():
 		return ReasonOtherTable
--- a/internal/entry/forward/delegate_test.go
+++ b/internal/entry/forward/delegate_test.go
@@ -239,7 +239,7 @@
 		h.lastRequest++
 		return h.apply(RequestArrived{
 			Request: h.lastRequest, Host: "h", Path: "/a/x", Deadline: h.now.Add(2 * time.Second),
-			Delegated: &Delegated{TableVersion: version, Attempts: 1},
+			FromPeer: &FromPeer{TableVersion: version, Attempts: 1},
 		})
 	}
 	h := newIsolatedHarness(t, plainRoute("h", "a", true))
@@ -331,7 +331,7 @@
 	for _, repeated := range []bool{true, false} {
 		before := h.state.pools["a"].budget.remaining(testBudget, h.now, 1)
 		h.lastRequest++
-		h.apply(RequestArrived{Request: h.lastRequest, Host: "h", Path: "/a/x", Delegated: &Delegated{TableVersion: 1, Attempts: 1, Repeated: repeated}})
+		h.apply(RequestArrived{Request: h.lastRequest, Host: "h", Path: "/a/x", FromPeer: &FromPeer{TableVersion: 1, Attempts: 1, Repeated: repeated}})
 		after := h.state.pools["a"].budget.remaining(testBudget, h.now, 1)
 		assert.Equal(t, after > before, !repeated)
 	}
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -54,7 +54,7 @@
 	// have arrived.
 	PeerDeadline time.Time
 	Deadline     time.Time
-	// TableVersion, Attempts, Repeated and Age are as in Delegated, Delay as in
+	// TableVersion, Attempts, Repeated and Age are as in FromPeer, Delay as in
 	// RequestArrived.
 	TableVersion uint64
 	Attempts     int
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -46,8 +46,8 @@
 	Seed uint64
 	// Fingerprint identifies the request's content.
 	Fingerprint quarantine.Fingerprint
-	// Delegated is set if a peer has passed the request on.
-	Delegated *Delegated
+	// FromPeer is set if a peer has passed the request on.
+	FromPeer *FromPeer
 }
 
 // PeersChanged carries the entry nodes that requests may be passed on to.
--- a/internal/entry/forward/peer.go
+++ b/internal/entry/forward/peer.go
@@ -65,7 +65,7 @@
 // choosePeer returns the peer that is expected to answer a request first, nil if none may
 // still be asked in time.
 func (s *State) choosePeer(r *request) *peer {
-	if r.delegated != nil || len(r.askedPeers) >= maxAskedPeers {
+	if r.fromPeer != nil || len(r.askedPeers) >= maxAskedPeers {
 		return nil
 	}
 	var best *peer
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -100,8 +100,8 @@
 	// route usually start with, and so was probably refused before, by this node or
 	// another.
 	returning bool
-	// delegated is set for a request that a peer has passed to this node.
-	delegated *Delegated
+	// fromPeer is set for a request that a peer has passed on to this node.
+	fromPeer *FromPeer
 	// attempts is the number of targets of each pool that the request may be sent to.
 	attempts int
 	parts    []*part
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -182,6 +182,7 @@
 		ended.Status, ended.Reason, ended.RetryAfter = reply.Refusal.Status, forward.Reason(reply.Refusal.Reason), reply.Refusal.RetryAfter
 	case reply.Response != nil:
 		ended.Outcome, ended.Status = forward.DelegationAnswered, reply.Response.Status
+		// A response that isn't merged lacks the header, and no parts.
 		ended.Missing, _ = strconv.Atoi(http.Header(reply.Response.Header).Get(n.cfg.Headers.MissingParts))
 	}
 	return ended
@@ -235,7 +236,7 @@
 	return n.awaitAnswer(request, pending, forward.RequestArrived{
 		Request: request, Host: requestHost(incoming), Path: target.EscapedPath(), Deadline: deadline,
 		Delay: time.Duration(args.DelayUS) * time.Microsecond, Seed: rand.Uint64(), Fingerprint: pending.fingerprint,
-		Delegated: &forward.Delegated{
+		FromPeer: &forward.FromPeer{
 			TableVersion: args.TableVersion, Attempts: args.Attempts, Repeated: args.Repeated,
 			Age: time.Duration(args.AgeUS) * time.Microsecond,
 		},
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -26,6 +26,7 @@
 	ControlTableNotAccepted          = Event{2106, zapcore.WarnLevel, "routing table not accepted", "The update of the routing table was not acknowledged, but may still take effect. The operator should send it again."}
 	ControlAutomaticMembershipChange = Event{2107, zapcore.InfoLevel, "automatic membership change", "The leader changes the membership automatically: it adds or promotes a learner, or removes a lost replica. The field committed tells whether the change is in force."}
 	ControlVerdictChanged            = Event{2110, zapcore.WarnLevel, "verdict on request changed", "Entry nodes have reported three crashes of targets while they ran the request with this fingerprint, or a further one, or with in_force false that a target has answered it since. All entry nodes are told."}
+	ControlPeerChanged               = Event{2111, zapcore.InfoLevel, "entry node as peer changed", "An entry node takes requests from other entry nodes at another address than before. An empty address means that it takes none: it stops, or can't reach most targets."}
 	ControlSettingsReloaded          = Event{2109, zapcore.InfoLevel, "settings reloaded", "The settings were reloaded. The process polls the control processes listed in controls in addition to those it already knows."}
 	ControlCallRefused               = Event{2108, zapcore.WarnLevel, "call refused", "A call of an operator or a target was refused; the field error holds the reason."}
 )
@@ -43,6 +44,6 @@
 	ControlReplicaReplaced, ControlSnapshotSaved,
 	ControlTargetChanged, ControlWithdrawalUnconfirmed, ControlWatcherConnected, ControlWatcherLost,
 	ControlTableAccepted, ControlTableNotAccepted, ControlAutomaticMembershipChange,
-	ControlCallRefused, ControlVerdictChanged, ControlSettingsReloaded,
+	ControlCallRefused, ControlVerdictChanged, ControlPeerChanged, ControlSettingsReloaded,
 	ControlDiskFull, ControlSlowDiskTransfer,
 }
