--- a/internal/discovery/entrypeers.go
+++ b/internal/discovery/entrypeers.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // EntryPeer is an entry node that takes requests from other entry nodes.
@@ -45,33 +46,56 @@
 // centre first. Each node gets others, so that requests are spread if many nodes pass them
 // on.
 func (w *Watchers) PeersOf(now time.Time, node, dataCentre string) []EntryPeer {
-	var candidates []EntryPeer
+	byDataCentre := map[string][]rankedPeer{}
 	for name, known := range w.byNode {
-		if name != node && known.kind == WatcherEntry && known.peerAddress != "" && now.Sub(known.lastPoll) <= w.expiry {
-			candidates = append(candidates, EntryPeer{name, known.dataCentre, known.peerAddress})
+		if name == node || known.kind != WatcherEntry || known.peerAddress == "" || now.Sub(known.lastPoll) > w.expiry {
+			continue
+		}
+		most := maxPeersPerDataCentre
+		if known.dataCentre == dataCentre {
+			most = maxLocalPeers
 		}
+		p := rankedPeer{EntryPeer{name, known.dataCentre, known.peerAddress}, pairHash(node, name)}
+		byDataCentre[known.dataCentre] = insertRanked(byDataCentre[known.dataCentre], p, most)
 	}
-	slices.SortFunc(candidates, func(a, b EntryPeer) int {
-		return cmp.Or(cmp.Compare(pairHash(node, a.Node), pairHash(node, b.Node)), cmp.Compare(a.Node, b.Node))
-	})
-	var local, remote []EntryPeer
-	count := map[string]int{}
-	for _, c := range candidates {
-		switch {
-		case c.DataCentre == dataCentre && len(local) < maxLocalPeers:
-			local = append(local, c)
-		case c.DataCentre != dataCentre && len(remote) < maxRemotePeers && count[c.DataCentre] < maxPeersPerDataCentre:
-			count[c.DataCentre]++
-			remote = append(remote, c)
+	local := byDataCentre[dataCentre]
+	delete(byDataCentre, dataCentre)
+	var remote []rankedPeer
+	for _, peers := range byDataCentre {
+		for _, p := range peers {
+			remote = insertRanked(remote, p, maxRemotePeers)
 		}
 	}
-	return append(local, remote...)
+	named := make([]EntryPeer, 0, len(local)+len(remote))
+	for _, p := range append(local, remote...) {
+		named = append(named, p.EntryPeer)
+	}
+	return named
+}
+
+// rankedPeer is a peer with its rank for one node. The lowest ranks are chosen.
+type rankedPeer struct {
+	EntryPeer
+	rank uint64
+}
+
+// insertRanked inserts a peer into a list sorted by rank, of which it keeps the first most.
+func insertRanked(list []rankedPeer, p rankedPeer, most int) []rankedPeer {
+	at, _ := slices.BinarySearchFunc(list, p, func(a, b rankedPeer) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Node, b.Node))
+	})
+	if at == most {
+		return list
+	}
+	list = slices.Insert(list, at, p)
+	return list[:min(len(list), most)]
 }
 
 func pairHash(a, b string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(a))
-	_, _ = sum.Write([]byte{0})
-	_, _ = sum.Write([]byte(b))
+	var sum xxhash.Digest
+	sum.Reset()
+	_, _ = sum.WriteString(a)
+	_, _ = sum.WriteString("\x00")
+	_, _ = sum.WriteString(b)
 	return sum.Sum64()
 }
--- a/internal/discovery/entrypeers_test.go
+++ b/internal/discovery/entrypeers_test.go
@@ -59,3 +59,17 @@
 		assert.Assert(t, count <= 4, "%s is the first remote peer of %d nodes", node, count)
 	}
 }
+
+// BenchmarkPeersOf measures the choice of peers for one node of a large deployment and of
+// the size to design for.
+func BenchmarkPeersOf(b *testing.B) {
+	for _, size := range []struct{ dataCentres, nodes int }{{6, 49}, {14, 600}} {
+		b.Run(fmt.Sprint(size.dataCentres*size.nodes), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			w := newPeerWatchers(now, size.dataCentres, size.nodes)
+			for b.Loop() {
+				w.PeersOf(now, "d0-0", "d0")
+			}
+		})
+	}
+}
