--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -504,3 +504,32 @@
 	assert.Equal(t, started.QuorumAgeMS, int64(-1), "the table must not count as confirmed")
 	assert.Equal(t, isolated.appliedTable().Version, uint64(0))
 }
+
+// TestEntryNodesArePeersOfEachOther has entry nodes poll a control process, one of which
+// then takes no requests of others any more.
+func TestEntryNodesArePeersOfEachOther(t *testing.T) {
+	s := newSeededGroup(t, "c1")
+	s.launchAll()
+	node := s.nodes["c1"]
+	pollAs := func(name string, change func(*controlrpc.WatchArgs)) *controlrpc.WatchReply {
+		args := &controlrpc.WatchArgs{Node: name, Kind: discovery.WatcherEntry, DataCentre: "oeste", Epoch: node.directory.epoch}
+		change(args)
+		var reply controlrpc.WatchReply
+		node.watchLocal(context.Background(), args, 0, &reply)
+		return &reply
+	}
+	nothing := func(*controlrpc.WatchArgs) {}
+	tell := func(address string) func(*controlrpc.WatchArgs) {
+		return func(args *controlrpc.WatchArgs) { args.TellsPeerAddress, args.PeerAddress = true, address }
+	}
+	want := func(args *controlrpc.WatchArgs) { args.WantPeers = true }
+	assert.Assert(t, pollAs("e1", nothing).WantPeerAddress)
+	assert.Assert(t, !pollAs("e1", tell("e1:1")).WantPeerAddress)
+	pollAs("e2", tell("e2:1"))
+	assert.Assert(t, pollAs("e1", nothing).EntryPeers == nil)
+	assert.DeepEqual(t, pollAs("e1", want).EntryPeers, []discovery.EntryPeer{{Node: "e2", DataCentre: "oeste", Address: "e2:1"}})
+	pollAs("e2", nothing)
+	assert.Equal(t, len(pollAs("e1", want).EntryPeers), 1, "the address holds until it changes")
+	pollAs("e2", tell(""))
+	assert.Equal(t, len(pollAs("e1", want).EntryPeers), 0)
+}
