A node also respects a leaving target whose reply a peer has passed on

A target says in its replies that it leaves. The reply of a request that a peer has forwarded went to the caller with that header, but the calling node itself did not learn it, and could send to the target once its own way to it was back and before a control process told. The peer now names the target with the response. TestTargetThatLeavesByAPeersReplyGetsNothing fails without.

--- a/internal/entry/forward/delegate.go
+++ b/internal/entry/forward/delegate.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"wigeonbay/internal/api"
 )
 
 // A node that has no way to enough targets passes requests on to another entry node, its
@@ -237,6 +239,7 @@
 	if ev.Outcome == DelegationAnswered || ev.Outcome == DelegationRefused {
 		d.peer.lastReply = s.now
 	}
+	s.observeLeaving(ev.Leaving)
 	r := d.request
 	if r.done {
 		return
@@ -258,6 +261,16 @@
 	}
 }
 
+// observeLeaving applies that a target leaves, as a reply which a peer has passed on says.
+func (s *State) observeLeaving(leaving *api.Announcement) {
+	if leaving == nil {
+		return
+	}
+	if t := s.targets[leaving.Target]; t != nil && t.announcement.Incarnation == leaving.Incarnation {
+		s.applyDemand(t, Demand{Leaving: true})
+	}
+}
+
 // avoidPeer keeps requests from a peer that can't take any at the moment.
 func (s *State) avoidPeer(p *peer, ev DelegationEnded) {
 	if ev.Stopping {
--- a/internal/entry/forward/delegate_test.go
+++ b/internal/entry/forward/delegate_test.go
@@ -475,3 +475,21 @@
 	id := h.arrive("o")
 	assert.Equal(t, len(h.sends(id)), 1, "another pool is not concerned")
 }
+
+// TestTargetThatLeavesByAPeersReplyGetsNothing has a peer pass on the reply of a target that
+// leaves; once the node reaches its targets again, it must not send to that one.
+//
+// fault: cut-from-targets x drain
+func TestTargetThatLeavesByAPeersReplyGetsNothing(t *testing.T) {
+	h := newIsolatedHarness(t, plainRoute("h", "a", true))
+	h.addTarget("a1", "a", home)
+	h.addTarget("a2", "a", home)
+	_, effects := h.arriveAt("h")
+	leaving := h.state.targets["a1"].announcement
+	effects = h.apply(DelegationEnded{Delegation: onlyDelegation(t, effects).Delegation, Outcome: DelegationAnswered, Status: 200, Leaving: &leaving})
+	assert.Equal(t, len(find[ReportLeaving](effects)), 1)
+	h.apply(ProbeEnded{Target: "a2", Incarnation: 1, Answered: true, Healthy: true})
+	for range 4 {
+		assert.Equal(t, h.onlySend(h.arrive("h")).Target, api.TargetID("a2"))
+	}
+}
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -32,6 +32,8 @@
 type Relay struct {
 	Request RequestID
 	Attempt AttemptID
+	// Target is the one that has replied.
+	Target  api.Announcement
 	Summary Summary
 }
 
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -65,6 +65,9 @@
 	Missing    int
 	// Stopping reports that the peer has begun to shut down.
 	Stopping bool
+	// Leaving is the target whose reply the response is, if that says that the target
+	// leaves.
+	Leaving *api.Announcement
 }
 
 // VerdictsReceived carries a control process's verdicts on requests that crash targets.
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -134,7 +134,7 @@
 	} else {
 		s.counters.Failed++
 	}
-	s.emit(Relay{Request: r.id, Attempt: a.id, Summary: s.summary(r)})
+	s.emit(Relay{Request: r.id, Attempt: a.id, Target: a.target.announcement, Summary: s.summary(r)})
 	s.finish(r, lingerTime)
 }
 
--- a/internal/entry/forwarder/demand.go
+++ b/internal/entry/forwarder/demand.go
@@ -18,11 +18,16 @@
 // maxRetryAfter limits the time for which a target is held back.
 const maxRetryAfter = time.Hour
 
+// saysLeaving reports whether a target's reply says that the target leaves.
+func (n *Node) saysLeaving(reply pool.Reply) bool {
+	return strings.TrimSpace(reply.Header.Get(n.cfg.Headers.Leaving)) == "1"
+}
+
 // demandOf returns what a target demands in a reply. request is the ID of the caller's
 // request for the log, empty for a health check.
 func (n *Node) demandOf(request string, reply pool.Reply) forward.Demand {
 	names := n.cfg.Headers
-	demand := forward.Demand{Leaving: strings.TrimSpace(reply.Header.Get(names.Leaving)) == "1"}
+	demand := forward.Demand{Leaving: n.saysLeaving(reply)}
 	value := reply.Header.Get(names.RetryAfter)
 	refused := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
 	if value == "" || !refused {
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -83,7 +83,7 @@
 func (n *Node) relay(e forward.Relay) {
 	reply := n.replies[e.Attempt]
 	delete(n.replies, e.Attempt)
-	n.finish(e.Request, answer{reply: reply}, reply.Status, "", &e.Summary)
+	n.finish(e.Request, answer{reply: reply, target: &e.Target}, reply.Status, "", &e.Summary)
 }
 
 func (n *Node) merge(e forward.Merge) {
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -172,7 +172,7 @@
 
 // delegationEnded returns the event for the end of a call to a peer.
 func (n *Node) delegationEnded(id forward.DelegationID, reply *entryrpc.ForwardReply, err error) forward.DelegationEnded {
-	ended := forward.DelegationEnded{Delegation: id, Outcome: forward.DelegationLost, Stopping: reply.Stopping}
+	ended := forward.DelegationEnded{Delegation: id, Outcome: forward.DelegationLost, Stopping: reply.Stopping, Leaving: reply.Leaving}
 	switch {
 	case errors.Is(err, wire.ErrNotSent):
 		ended.Outcome = forward.DelegationNotSent
@@ -210,6 +210,9 @@
 		reply.Refusal = &entryrpc.Refusal{Status: a.refusal.Status, Reason: string(a.refusal.Reason), RetryAfter: a.refusal.RetryAfter}
 	default:
 		reply.Response = n.response(a)
+		if a.reply != nil && n.saysLeaving(*a.reply) {
+			reply.Leaving = a.target
+		}
 	}
 	return nil
 }
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"wigeonbay/internal/api"
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/gather"
 	"wigeonbay/internal/entry/pool"
@@ -48,6 +49,7 @@
 type answer struct {
 	refusal  *forward.Refuse
 	reply    *pool.Reply
+	target   *api.Announcement // of reply
 	merged   *forward.Merge
 	parts    []*pool.Reply
 	passedOn *entryrpc.Response
--- a/internal/entryrpc/entryrpc.go
+++ b/internal/entryrpc/entryrpc.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"wigeonbay/internal/api"
 	"wigeonbay/internal/wire"
 )
 
@@ -80,6 +81,9 @@
 type ForwardReply struct {
 	Response *Response
 	Refusal  *Refusal
+	// Leaving is the target whose reply the response is, if the reply says that the target
+	// leaves: the calling node passes that on to its caller, and must respect it too.
+	Leaving *api.Announcement
 	// Stopping is set if the called node has begun to shut down.
 	Stopping bool
 }
