Peering of a watcher in a file of its own; small names

A request asks mayHaveArrived, not for a number that only was compared with 0. A request of the JSON API that was decoded from JSON can't fail to be encoded again; the error was dropped without a line, now it is a broken invariant. No change of behaviour.

--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -93,16 +93,6 @@
 	Peering func() Peering
 }
 
-// Peering is an entry node's part in passing requests on.
-type Peering struct {
-	// Address is the address at which the node takes requests from others, "" for none.
-	Address string
-	// WantsPeers reports that the node wants to know peers, Urgent that it needs them now,
-	// from each control process.
-	WantsPeers bool
-	Urgent     bool
-}
-
 // Watcher polls control processes. It is safe for concurrent use.
 type Watcher struct {
 	cfg     Config
@@ -275,14 +265,7 @@
 		args.Withdrawals, withdrawalsSent = w.cfg.Withdrawals(p.withdrawalsSent, p.restarted)
 	}
 	crashReportsSent := w.addCrashes(p, args)
-	var peering Peering
-	if w.cfg.Peering != nil {
-		peering = w.cfg.Peering()
-	}
-	args.WantPeers = peering.Urgent || peering.WantsPeers && !args.Aside
-	if !p.peerAddressTold || p.peerAddress != peering.Address {
-		args.TellsPeerAddress, args.PeerAddress = true, peering.Address
-	}
+	peering := w.addPeering(p, args)
 	switch {
 	case len(lacks) > 0:
 		args.Lacks, args.KnownOffers = lacks, p.offersRevision
--- a/internal/entry/driver/passon.go
+++ b/internal/entry/driver/passon.go
@@ -34,12 +34,7 @@
 	w.cancelPassOn = cancel
 	go func() {
 		defer cancel()
-		args, err := w.forwardArgs(e)
-		if err != nil {
-			n.step(entry.PassOnEnded{Query: e.Query, Outcome: entry.PassOnNotSent})
-			return
-		}
-		reply, err := n.passOnCalls.Forward(ctx, e.Peer.Address, args)
+		reply, err := n.passOnCalls.Forward(ctx, e.Peer.Address, w.forwardArgs(e))
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if err == nil {
@@ -62,14 +57,14 @@
 }
 
 // forwardArgs returns the call that passes the waiter's request on.
-func (w *waiter) forwardArgs(e entry.PassOn) (*entryrpc.ForwardArgs, error) {
+func (w *waiter) forwardArgs(e entry.PassOn) *entryrpc.ForwardArgs {
 	var content any = w.search
 	if w.submit != (api.SubmitRequest{}) {
 		content = w.submit
 	}
 	body, err := json.Marshal(content)
 	if err != nil {
-		return nil, fmt.Errorf("encode a request for another entry node: %w", err)
+		panic(fmt.Sprintf("driver: encode a request that was decoded from JSON: %v", err))
 	}
 	header := http.Header{"Content-Type": {"application/json"}, api.HeaderRequestID: {w.id}}
 	for _, name := range []string{api.HeaderCaller, api.HeaderIdempotencyKey} {
@@ -82,7 +77,7 @@
 	return &entryrpc.ForwardArgs{
 		Method: w.request.Method, URI: w.request.RequestURI, Host: w.request.Host, Header: header, Body: body,
 		TableVersion: e.ConfigVersion, TimeLeftUS: left.Microseconds(),
-	}, nil
+	}
 }
 
 // passOnOutcome returns how a call to another entry node ended.
@@ -109,7 +104,8 @@
 	return p
 }
 
-// serveForPeer answers a request that another entry node has passed on.
+// serveForPeer answers a request that another entry node has passed on. Its deadline is also
+// in the request's header.
 func (n *Node) serveForPeer(ctx context.Context, args *entryrpc.ForwardArgs, _ time.Time, reply *entryrpc.ForwardReply) error {
 	target, err := url.ParseRequestURI(args.URI)
 	if err != nil {
--- a/internal/entry/forward/delegate.go
+++ b/internal/entry/forward/delegate.go
@@ -103,7 +103,7 @@
 	s.counters.Delegated++
 	s.emit(Delegate{
 		Request: r.id, Delegation: d.id, Peer: p.Peer, Deadline: r.deadline.Add(-answerMargin), PeerDeadline: s.peerDeadline(r, p),
-		TableVersion: s.TableVersion(), Attempts: r.attempts - r.runs(), Repeated: r.sentParts() > 0,
+		TableVersion: s.TableVersion(), Attempts: r.attempts - r.runs(), Repeated: r.mayHaveArrived(),
 		Age: s.now.Sub(r.arrived), Delay: r.callerDelay + s.roundTripTo(p.DataCentre),
 	})
 	s.setTimer(r)
@@ -125,15 +125,9 @@
 	return runs
 }
 
-// sentParts returns the number of parts that have arrived at a target or may have.
-func (r *request) sentParts() int {
-	sent := 0
-	for _, p := range r.parts {
-		if p.sends > 0 {
-			sent++
-		}
-	}
-	return sent
+// mayHaveArrived reports whether a part has arrived at a target or may have.
+func (r *request) mayHaveArrived() bool {
+	return slices.ContainsFunc(r.parts, func(p *part) bool { return p.sends > 0 })
 }
 
 // needsPeer reports whether a request is to be passed on rather than sent to this node's
