--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -153,9 +153,9 @@
 
 // handleSearchCancelled ends a search whose caller has disconnected.
 func (s *State) handleSearchCancelled(ev SearchCancelled) {
-	if s.passed[ev.Query] != nil {
-		delete(s.passed, ev.Query)
-		s.emit(CancelPassOn{Query: ev.Query})
+	if p := s.passed[ev.Query]; p != nil {
+		delete(s.passed, p.query)
+		s.emit(CancelPassOn{Query: p.query})
 		return
 	}
 	q := s.searches[ev.Query]
--- a/internal/entry/passon_test.go
+++ b/internal/entry/passon_test.go
@@ -68,7 +68,7 @@
 		assert.Equal(t, next[0].Peer, farPeer)
 		effects = h.apply(PassOnEnded{Query: id, Outcome: PassOnNotSent})
 		assert.Equal(t, len(effectsOf[AnswerFromPeer](effects)), 1, "the refusal of the first peer")
-		id, effects = h.arrive(submit, nil)
+		_, effects = h.arrive(submit, nil)
 		problem := effectsOf[Refuse](effects)[0].Problem
 		assert.Equal(t, problem.Status, http.StatusServiceUnavailable, "both peers are avoided")
 		assert.Equal(t, problem.Ran, api.RanNo)
