A stopping node answers what arrives after it found itself idle

Cause: Stop waited until the node was idle, closed the listeners and then gave open connections 300 ms, the time for writing the last responses. Requests that other entry nodes had passed on were cut at once, in both APIs: the server for calls between nodes closed its connections without looking for calls in progress.

--- a/internal/entry/driver/node_test.go
+++ b/internal/entry/driver/node_test.go
@@ -18,7 +18,11 @@
 	"gotest.tools/v3/poll"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/peercall"
+	"wigeonbay/internal/entryrpc"
+	"wigeonbay/internal/freeport"
 	"wigeonbay/internal/settings"
+	"wigeonbay/internal/wire"
 )
 
 // fakeTarget is a searcher with one shard. Tests replace search to control its
@@ -53,7 +57,9 @@
 func startBareNode(t *testing.T) *Node {
 	config := settings.DefaultEntry()
 	config.Node = settings.Node{ID: "e1", DataCentre: "oeste"}
-	config.Listen = settings.EntryListen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	peers, err := freeport.Address()
+	assert.NilError(t, err)
+	config.Listen = settings.EntryListen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: peers}
 	config.Limits.DrainTime = time.Millisecond
 	config.Limits.BodyBytes = 1000
 	n, err := New(config, zap.NewNop())
@@ -211,32 +217,51 @@
 }
 
 func TestGracefulShutdownCompletesRequestInProgress(t *testing.T) {
-	n := startNode(t)
-	f := newFakeTarget(t)
-	reply := f.search
-	arrived := make(chan struct{})
-	release := make(chan struct{})
-	f.search = func(w http.ResponseWriter, request api.ShardRequest) {
-		close(arrived)
-		<-release
-		reply(w, request)
+	const (
+		path  = "/v1/services/lots/search"
+		query = `{"query":"x"}`
+		// serviceTime is longer than a shutdown without requests takes.
+		serviceTime = 500 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		name   string
+		search func(t *testing.T, n *Node) (status int, body string)
+	}{
+		{"of a caller", func(t *testing.T, n *Node) (int, string) {
+			status, body, _ := post(t, n, path, query, nil)
+			return status, string(body)
+		}},
+		{"passed on by another entry node", func(t *testing.T, n *Node) (int, string) {
+			client := peercall.NewClient("e2", wire.NewClient(nil), zap.NewNop())
+			defer client.Close()
+			reply, err := client.Forward(t.Context(), n.settings.Listen.Peers, &entryrpc.ForwardArgs{
+				Method: http.MethodPost, URI: path, Body: []byte(query), TableVersion: 1, TimeLeftUS: (5 * time.Second).Microseconds(),
+			})
+			if err != nil || reply.Response == nil {
+				return 0, fmt.Sprint(err)
+			}
+			return reply.Response.Status, string(reply.Response.Body)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := startNode(t)
+			f := newFakeTarget(t)
+			reply := f.search
+			arrived := make(chan struct{})
+			f.search = func(w http.ResponseWriter, request api.ShardRequest) {
+				close(arrived)
+				time.Sleep(serviceTime)
+				reply(w, request)
+			}
+			announce(t, n, f)
+			var wait sync.WaitGroup
+			wait.Go(func() {
+				status, body := tc.search(t, n)
+				assert.Check(t, status == http.StatusOK, "%s", body)
+			})
+			<-arrived
+			assert.NilError(t, n.Stop(context.Background()))
+			wait.Wait()
+		})
 	}
-	announce(t, n, f)
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		status, body, _ := post(t, n, "/v1/services/lots/search", `{"query":"x"}`, nil)
-		assert.Check(t, status == http.StatusOK, "%s", body)
-	})
-	<-arrived
-	stopped := make(chan error, 1)
-	go func() { stopped <- n.Stop(context.Background()) }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !n.ready() {
-			return poll.Success()
-		}
-		return poll.Continue("the node is still ready")
-	})
-	close(release)
-	wait.Wait()
-	assert.NilError(t, <-stopped)
 }
--- a/internal/entry/forwarder/malformed_test.go
+++ b/internal/entry/forwarder/malformed_test.go
@@ -33,20 +33,26 @@
 	return address
 }
 
-// startNode starts a node whose only control process does not exist.
+// startNode starts a node whose only control process does not exist, and stops it at the
+// end of the test.
 func startNode(t *testing.T) *Node {
+	n := startUnstoppedNode(t, time.Second)
+	t.Cleanup(func() { _ = n.Stop(t.Context()) })
+	return n
+}
+
+func startUnstoppedNode(t *testing.T, shutdownTime time.Duration) *Node {
 	cfg := &settings.Entry{}
 	cfg.Node.ID, cfg.Node.DataCentre = "e1", "dc"
 	cfg.Listen.Forward, cfg.Listen.Ready = reserveAddress(t), reserveAddress(t)
 	cfg.Discovery.Seeds = []string{reserveAddress(t)}
 	cfg.Forward.ExtraRatio, cfg.Forward.ExtraSlack, cfg.Forward.ExtraWindow = 0.2, 50, 10*time.Second
-	cfg.Forward.ShutdownTime = time.Second
+	cfg.Forward.ShutdownTime = shutdownTime
 	n := New(Config{
 		Settings: cfg, Logger: zap.NewNop(), Headers: headers, ReadyPath: "/ready", Metrics: telemetry.NewMetrics(),
 		DecodeTable: func([]byte) (*api.RoutingTable, error) { return nil, io.ErrUnexpectedEOF },
 	})
 	assert.NilError(t, n.Start())
-	t.Cleanup(func() { _ = n.Stop(t.Context()) })
 	return n
 }
 
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -176,24 +176,33 @@
 }
 
 // Stop shuts the node down gracefully. It fails readiness checks, keeps serving until
-// the load balancer has stopped sending requests or the shutdown time runs out, and
-// then answers or refuses the requests still pending and closes the listeners and
-// connections.
+// the load balancer has stopped sending requests or the shutdown time runs out, closes the
+// listeners, and answers the requests that still arrive on open connections. What is
+// pending at the end of the shutdown time is refused or fails.
 func (n *Node) Stop(ctx context.Context) error {
 	n.draining.Store(true)
 	telemetry.ForwardDraining.Log(n.logger, zap.Int("in_progress", n.InProgress()))
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Forward.ShutdownTime-shutdownMargin)
+	shutdownTime := n.cfg.Settings.Forward.ShutdownTime
+	refusal := time.AfterFunc(time.Duration(acceptFraction*float64(shutdownTime)), func() { n.refusing.Store(true) })
+	defer refusal.Stop()
+	ctx, cancel := context.WithTimeout(ctx, shutdownTime-shutdownMargin)
 	defer cancel()
+	connections, closeConnections := context.WithCancel(context.Background())
+	defer closeConnections()
+	atEnd := context.AfterFunc(ctx, func() {
+		n.refusing.Store(true)
+		n.step(forward.ShuttingDown{})
+		time.AfterFunc(lastWriteTime, closeConnections)
+	})
+	defer atEnd()
 	n.awaitIdle(ctx)
-	n.step(forward.ShuttingDown{})
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownMargin/2)
-	defer cancelShutdown()
-	err := n.callerServer.Shutdown(shutdownCtx)
+	n.peers.refusing.Store(true)
+	err := n.callerServer.Shutdown(connections)
 	_ = n.readinessServer.Close()
+	n.peers.stop(connections)
 	n.stop()
 	n.watcher.Stop()
 	n.client.Close()
-	n.peers.stop()
 	n.pool.Close()
 	n.goroutines.Wait()
 	telemetry.ForwardStopped.Log(n.logger, zap.Int("in_progress", n.InProgress()))
@@ -206,7 +215,6 @@
 // acceptFraction of the shutdown time they are refused, so that the accepted ones can
 // finish.
 func (n *Node) awaitIdle(ctx context.Context) {
-	refuseAt := time.Now().Add(time.Duration(acceptFraction * float64(n.cfg.Settings.Forward.ShutdownTime)))
 	wait.Sleep(ctx, n.cfg.Settings.Limits.DrainTime)
 	for ctx.Err() == nil {
 		idle := time.Since(n.created) - time.Duration(n.lastArrival.Load())
@@ -214,7 +222,6 @@
 		if n.InProgress() == 0 && settled {
 			return
 		}
-		n.refusing.Store(!time.Now().Before(refuseAt))
 		wait.Sleep(ctx, minIdleTime/10)
 	}
 }
@@ -225,9 +232,11 @@
 	// acceptFraction is the fraction of the shutdown time in which requests are
 	// accepted.
 	acceptFraction = 0.48
-	// shutdownMargin is the end of the shutdown time, reserved for writing the last
+	// shutdownMargin is the end of the shutdown time, reserved for refusing what is
+	// pending and closing connections; lastWriteTime is its part for writing the last
 	// responses.
 	shutdownMargin = 600 * time.Millisecond
+	lastWriteTime  = shutdownMargin / 2
 	// shutdownRetry is the Retry-After of a request refused during shutdown. It is
 	// short, as another node accepts the caller's next connection.
 	shutdownRetry = 50 * time.Millisecond
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -32,6 +33,9 @@
 	node   *Node
 	client *peercall.Client
 	server *wire.Server
+	// refusing is set once this node, which shuts down, has been idle: other nodes can ask
+	// another one.
+	refusing atomic.Bool
 	// lists holds the peers that each control process named last, by its address.
 	lists map[string][]discovery.EntryPeer
 	// cancels ends delegations in progress; responses holds the response of one until the
@@ -70,11 +74,12 @@
 	return nil
 }
 
-func (p *peering) stop() {
-	p.client.Close()
+// stop answers the calls in progress until ctx ends, and closes all connections.
+func (p *peering) stop(ctx context.Context) {
 	if p.server != nil {
-		p.server.Close()
+		p.server.Shutdown(ctx)
 	}
+	p.client.Close()
 }
 
 // state returns what control processes are told. A node that stops or is impaired takes
@@ -192,7 +197,7 @@
 func (p *peering) serve(ctx context.Context, args *entryrpc.ForwardArgs, deadline time.Time, reply *entryrpc.ForwardReply) error {
 	n := p.node
 	reply.Stopping = n.draining.Load()
-	if n.refusing.Load() {
+	if n.refusing.Load() || p.refusing.Load() {
 		reply.Refusal = &entryrpc.Refusal{Status: http.StatusServiceUnavailable, Reason: string(forward.ReasonShutdown), RetryAfter: shutdownRetry}
 		return nil
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,6 +42,8 @@
 	conns    map[net.Conn]struct{}
 	closed   bool
 	running  sync.WaitGroup
+	// calls counts the calls of which the first byte has arrived and that are not replied to.
+	calls atomic.Int64
 }
 
 // ServerOption configures a Server.
@@ -94,14 +97,39 @@
 	go s.accept(listener)
 }
 
-// Close stops accepting, closes all connections and waits until the calls in progress
-// have returned.
-func (s *Server) Close() {
+// Shutdown stops accepting connections, goes on serving calls on the open ones until none is
+// in progress or ctx ends, and then closes the server. Its methods should refuse new calls,
+// as callers that don't stop calling delay it.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.stopAccepting()
+	ticker := time.NewTicker(shutdownCheckInterval)
+	defer ticker.Stop()
+	for s.calls.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	s.Close()
+}
+
+// shutdownCheckInterval is the time between two checks for calls in progress.
+const shutdownCheckInterval = 10 * time.Millisecond
+
+func (s *Server) stopAccepting() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
+}
+
+// Close stops accepting, closes all connections and waits until the calls in progress
+// have returned.
+func (s *Server) Close() {
+	s.stopAccepting()
+	s.mu.Lock()
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -136,7 +164,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.rpc.ServeCodec(newServerCodec(conn, s.timeouts, s.limit))
+	s.rpc.ServeCodec(newServerCodec(conn, s.timeouts, s.limit, &s.calls))
 }
 
 // handshake completes a TLS handshake within the Read timeout. Otherwise the first
--- a/internal/wire/servercodec.go
+++ b/internal/wire/servercodec.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -26,6 +27,9 @@
 	mu    sync.Mutex
 	spans map[uint64]trace.Span
 
+	// calls is the server's count of calls in progress.
+	calls *atomic.Int64
+
 	// closed is closed when no more calls can be read.
 	closed  chan struct{}
 	closing sync.Once
@@ -38,8 +42,10 @@
 	BindConnection(disconnected <-chan struct{})
 }
 
-func newServerCodec(conn net.Conn, timeouts Timeouts, limit int) *serverCodec {
-	return &serverCodec{stream: newStream(conn, limit), timeouts: timeouts, spans: map[uint64]trace.Span{}, closed: make(chan struct{})}
+func newServerCodec(conn net.Conn, timeouts Timeouts, limit int, calls *atomic.Int64) *serverCodec {
+	return &serverCodec{
+		stream: newStream(conn, limit), timeouts: timeouts, spans: map[uint64]trace.Span{}, calls: calls, closed: make(chan struct{}),
+	}
 }
 
 // ReadRequestHeader implements rpc.ServerCodec. net/rpc closes the codec only after the
@@ -59,8 +65,10 @@
 	if err := c.awaitMessage(); err != nil {
 		return err
 	}
+	c.calls.Add(1)
 	c.in.reset(c.limit)
 	if err := c.dec.Decode(header); err != nil {
+		c.calls.Add(-1)
 		return err
 	}
 	c.method, c.seq = header.ServiceMethod, header.Seq
@@ -115,8 +123,10 @@
 	endSpan(span, err)
 }
 
-// WriteResponse implements rpc.ServerCodec.
+// WriteResponse implements rpc.ServerCodec. net/rpc calls it once for each header that was
+// read.
 func (c *serverCodec) WriteResponse(header *rpc.Response, body any) error {
+	defer c.calls.Add(-1)
 	c.endSpan(header)
 	err := c.encode(header, body)
 	if err == nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -50,6 +50,43 @@
 	})
 }
 
+// TestShutdownRepliesToCallsInProgress shuts a server down while a call runs and another one
+// comes on the same connection; both must be replied to.
+func TestShutdownRepliesToCallsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		calls := make(chan error, 2)
+		call := func() { calls <- n.callEcho(t, 2*time.Second, time.Minute) }
+		go call()
+		synctest.Wait()
+		stopped := make(chan struct{})
+		go func() {
+			n.server.Shutdown(t.Context())
+			close(stopped)
+		}()
+		time.Sleep(time.Second)
+		go call()
+		assert.NilError(t, <-calls)
+		assert.NilError(t, <-calls)
+		<-stopped
+		assert.Check(t, n.callEcho(t, 0, time.Second) != nil)
+	})
+}
+
+// TestShutdownEndsWithItsContext has a call that ends only with its connection.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		held := make(chan error, 1)
+		go func() { held <- n.client.Call(t.Context(), "peer", "Echo.Hold", &HoldArgs{}, &Reply{}) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		n.server.Shutdown(ctx)
+		assert.Check(t, <-held != nil)
+	})
+}
+
 // TestSilentConnectionIsDetectedAndReplaced discards all data on a connection while a
 // call waits for its reply, as when a relay has lost the connection's state. The call
 // must fail within the keep-alive times and the next call must dial.
