--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -23,9 +23,10 @@
 	"wigeonbay/internal/wire"
 )
 
-// peersLearnTime is how long after its start a node asks for peers, while other nodes
-// may start too. Later it does so only if it needs them.
-const peersLearnTime = 10 * time.Second
+// peersLearnDelay is how long after its start a node waits before it asks for peers, unless
+// it needs them. When many nodes start together, control processes then have sent them
+// their first routing tables, and know most of them.
+const peersLearnDelay = 3 * time.Second
 
 // peering passes requests on to other entry nodes and takes theirs. Its maps are guarded by
 // the node's mutex.
@@ -97,10 +98,17 @@
 		out.Address = ""
 	}
 	out.Urgent = impaired
-	out.WantsPeers = time.Since(n.created) < peersLearnTime || len(n.state.Peers()) == 0
+	out.WantsPeers = wantsPeers(time.Since(n.created), len(n.state.Peers()))
 	return out
 }
 
+// wantsPeers reports whether a node of an age that knows some peers asks for them, although
+// it has no use for them yet: once, to know some when it loses touch with control processes
+// too.
+func wantsPeers(age time.Duration, known int) bool {
+	return age >= peersLearnDelay && known == 0
+}
+
 // update applies the peers that a control process has named. Control processes know
 // different nodes, so the peers of all are used. The caller holds the node's mutex.
 func (p *peering) update(control string, named []discovery.EntryPeer) {
