Partial counts of entry nodes don't lower what nodes know

Cause: a control process that has just started knows only the entry nodes that have polled it since. A node keeps a greater count for 4 s after it was last reported; in an outage of all control processes that is over, and the first reply after it, which often names that node alone, takes effect at once. Each node then takes the shares of all (connections, rate limits, hedges and retries) until the others have polled, about a second. Change: a control process marks its counts as partial for the first 3 s; partial counts, and ranks, only raise what a node knows. Result: TestNodeCountSurvivesAnOutageOfControlProcesses and TestCountOfEntryNodesIsPartialAfterAStart; without the mark the first gives {a:1} for {a:3, b:2}.

--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -257,6 +257,25 @@
 	}, poll.WithTimeout(5*time.Second))
 }
 
+// TestCountOfEntryNodesIsPartialAfterAStart has entry nodes poll a process that has just
+// started, and the same process later.
+func TestCountOfEntryNodesIsPartialAfterAStart(t *testing.T) {
+	s := newSeededGroup(t, "a")
+	node := s.launch(s.members[0], true)
+	poll := func(name string) controlrpc.WatchReply {
+		var reply controlrpc.WatchReply
+		args := &controlrpc.WatchArgs{Node: name, Kind: discovery.WatcherEntry, DataCentre: "dc-a"}
+		node.watchLocal(context.Background(), args, 0, &reply)
+		return reply
+	}
+	first := poll("e1")
+	assert.DeepEqual(t, first.EntryNodes, map[string]int{"dc-a": 1})
+	assert.Assert(t, first.EntryNodesPartial, "e2 may not have polled yet")
+	node.directory.started = node.directory.started.Add(-entryNodesSettleTime)
+	assert.DeepEqual(t, poll("e2").EntryNodes, map[string]int{"dc-a": 2})
+	assert.Assert(t, !poll("e2").EntryNodesPartial)
+}
+
 // TestAsideWatcherGetsChecksum checks what a reply contains: changed records
 // for most watchers, only a checksum with Aside set unless offers or records
 // are requested, and the peers only if they changed since the last reply.
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -40,6 +40,9 @@
 	// again after it has started: their longest pause after a failed poll and a
 	// round trip.
 	watcherReturnTime = time.Second
+	// entryNodesSettleTime is how long after the start of this process its count of entry
+	// nodes may leave some out, also if they are slow to return.
+	entryNodesSettleTime = 2 * watcherExpiry
 )
 
 // errUnconfirmed means that a live watcher may not know that a target leaves.
--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -43,6 +43,7 @@
 	if args.WantPeers {
 		reply.EntryPeers = d.watchers.PeersOf(time.Now(), args.Node, args.DataCentre)
 	}
+	reply.EntryNodesPartial = time.Since(d.started) < entryNodesSettleTime
 	nodes := d.watchers.EntryNodes(time.Now())
 	reply.PeersChecksum = checksumPeers(controls, nodes)
 	if args.PeersChecksum != reply.PeersChecksum || args.Epoch != d.epoch {
--- a/internal/controlrpc/routing.go
+++ b/internal/controlrpc/routing.go
@@ -145,6 +145,9 @@
 	// EntryRank is the rank of an entry node that watches among those of its data centre,
 	// sorted by name, from 0.
 	EntryRank int
+	// EntryNodesPartial reports that the control process has started so recently that
+	// EntryNodes and EntryRank may leave out live nodes.
+	EntryNodesPartial bool
 	// WantPeerAddress requests the watcher's PeerAddress with its next poll.
 	WantPeerAddress bool
 	// EntryPeers are entry nodes that the watcher may pass requests on to, if it wants them.
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -292,9 +292,26 @@
 func TestNodeCountDecreaseIsDelayed(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	var c nodeCounts
-	assert.DeepEqual(t, c.update(start, map[string]int{"a": 3, "b": 2}), map[string]int{"a": 3, "b": 2})
-	// A control process that has just started reports only some of the nodes.
-	assert.Assert(t, c.update(start.Add(time.Second), map[string]int{"a": 1}) == nil)
+	assert.DeepEqual(t, c.update(start, map[string]int{"a": 3, "b": 2}, false), map[string]int{"a": 3, "b": 2})
+	// A control process that some of the nodes don't reach reports the others.
+	assert.Assert(t, c.update(start.Add(time.Second), map[string]int{"a": 1}, false) == nil)
 	later := start.Add(nodeCountHold + 2*time.Second)
-	assert.DeepEqual(t, c.update(later, map[string]int{"a": 1}), map[string]int{"a": 1})
+	assert.DeepEqual(t, c.update(later, map[string]int{"a": 1}, false), map[string]int{"a": 1})
+}
+
+// TestNodeCountSurvivesAnOutageOfControlProcesses has replies of control processes that have
+// just started after an outage longer than nodeCountHold: they know only the nodes that have
+// polled them since. Each node that took that for the truth would take the shares of all.
+//
+// fault: kill x restart
+func TestNodeCountSurvivesAnOutageOfControlProcesses(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	var c nodeCounts
+	c.update(start, map[string]int{"a": 3, "b": 2}, false)
+	restarted := start.Add(10 * nodeCountHold)
+	assert.Assert(t, c.update(restarted, map[string]int{"a": 1}, true) == nil, "partial counts lower none")
+	assert.DeepEqual(t, c.update(restarted, map[string]int{"a": 4}, true), map[string]int{"a": 4, "b": 2})
+	settled := restarted.Add(time.Second)
+	assert.DeepEqual(t, c.update(settled, map[string]int{"a": 2}, false), map[string]int{"a": 4})
+	assert.DeepEqual(t, c.update(restarted.Add(nodeCountHold+time.Second), map[string]int{"a": 2}, false), map[string]int{"a": 2})
 }
--- a/internal/entry/forwarder/readiness.go
+++ b/internal/entry/forwarder/readiness.go
@@ -71,22 +71,23 @@
 
 // update merges reported counts and returns the resulting counts, nil if they are
 // unchanged. A smaller or missing count takes effect once the previous one has not been
-// reported for nodeCountHold.
-func (c *nodeCounts) update(now time.Time, counts map[string]int) map[string]int {
+// reported for nodeCountHold, unless the counts are partial: after an outage of all control
+// processes each node would otherwise take all others for gone.
+func (c *nodeCounts) update(now time.Time, counts map[string]int, partial bool) map[string]int {
 	if c.current == nil {
 		c.current, c.updatedAt = map[string]int{}, map[string]time.Time{}
 	}
 	changed := false
 	for name, count := range counts {
 		previous := c.current[name]
-		if count >= previous || now.Sub(c.updatedAt[name]) > nodeCountHold {
+		if count >= previous || !partial && now.Sub(c.updatedAt[name]) > nodeCountHold {
 			c.updatedAt[name] = now
 			changed = changed || count != previous
 			c.current[name] = count
 		}
 	}
 	for name := range c.current {
-		if _, reported := counts[name]; !reported && now.Sub(c.updatedAt[name]) > nodeCountHold {
+		if _, reported := counts[name]; !reported && !partial && now.Sub(c.updatedAt[name]) > nodeCountHold {
 			delete(c.current, name)
 			changed = true
 		}
--- a/internal/entry/forwarder/watch.go
+++ b/internal/entry/forwarder/watch.go
@@ -27,7 +27,7 @@
 	if len(reply.Verdicts) > 0 {
 		n.stepLocked(forward.VerdictsReceived{Verdicts: reply.Verdicts})
 	}
-	n.updateNodeCounts(reply.EntryNodes, reply.EntryRank)
+	n.updateNodeCounts(reply)
 	n.peers.update(address, reply.EntryPeers)
 	if table != nil && table.Version > n.state.TableVersion() {
 		n.stepLocked(forward.TableInstalled{Table: table})
@@ -99,14 +99,14 @@
 	return nil
 }
 
-// updateNodeCounts records the number of live entry nodes per data centre. Control
-// processes that have just started know only some of them, so the greatest of the
-// recent counts is used, and the greatest of the recent ranks of this node.
-func (n *Node) updateNodeCounts(counts map[string]int, rank int) {
+// updateNodeCounts records the number of live entry nodes per data centre. A control
+// process may know only some of them, so the greatest of the recent counts is used, and the
+// greatest of the recent ranks of this node.
+func (n *Node) updateNodeCounts(reply *controlrpc.WatchReply) {
 	now := time.Now()
 	own := n.cfg.Settings.Node.DataCentre
-	countsChanged := n.ready.nodes.update(now, counts) != nil
-	rankChanged := n.ready.ranks.update(now, map[string]int{own: rank}) != nil
+	countsChanged := n.ready.nodes.update(now, reply.EntryNodes, reply.EntryNodesPartial) != nil
+	rankChanged := n.ready.ranks.update(now, map[string]int{own: reply.EntryRank}, reply.EntryNodesPartial) != nil
 	if countsChanged || rankChanged {
 		n.stepLocked(forward.NodesChanged{PerDataCentre: maps.Clone(n.ready.nodes.current), Rank: n.ready.ranks.current[own]})
 	}
