--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -78,7 +78,6 @@
 		r.returning = r.route.stats.isReturning(left)
 	}
 	s.makeParts(r)
-	s.inheritLosses(r)
 	if s.needsPeer(r) && s.delegate(r) {
 		return
 	}
@@ -107,10 +106,6 @@
 		if r.done || r.handedOver {
 			return
 		}
-		if r.mayCrashTargets() && r.isInFlight() {
-			s.hold(p)
-			continue
-		}
 		s.dispatch(p)
 	}
 	s.setTimer(r)
--- a/internal/entry/forward/crash.go
+++ b/internal/entry/forward/crash.go
@@ -69,7 +69,6 @@
 		return
 	}
 	r.replied = true
-	delete(s.losses, r.fingerprint)
 	s.served.Add(r.fingerprint, s.now.UnixMilli())
 	if s.quarantine.Suspects(r.fingerprint) {
 		s.report(quarantine.Report{Request: r.fingerprint, AtMS: s.now.UnixMilli(), Survived: true})
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -69,8 +69,6 @@
 		s.fail(r, s.failReason(r))
 	case r.pending == 0:
 		s.merge(r)
-	default:
-		s.settleHeld(r)
 	}
 }
 
@@ -114,8 +112,6 @@
 		s.refuse(r, http.StatusServiceUnavailable, reason, s.retryAfter(r, reason))
 	case reason == ReasonTimeout:
 		s.refuse(r, http.StatusGatewayTimeout, reason, 0)
-	case r.mayCrashTargets():
-		s.refuse(r, http.StatusBadGateway, reason, s.addJitter(r, crashRetryTime))
 	default:
 		s.refuse(r, http.StatusBadGateway, reason, 0)
 	}
--- a/internal/entry/forward/hedge.go
+++ b/internal/entry/forward/hedge.go
@@ -42,7 +42,7 @@
 func (p *part) mayHedge() bool {
 	config := &p.request.route.config
 	return config.Idempotent && p.phase == partSent && len(p.outstanding) > 0 &&
-		!p.hedged && p.runs < p.request.attempts && !p.request.mayCrashTargets()
+		!p.hedged && p.runs < p.request.attempts
 }
 
 // handleTimer carries out what is due for a request: it answers or refuses the request,
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -29,7 +29,6 @@
 	} else {
 		p.removeOutstanding(a)
 		s.handleOutcome(p, a, ev)
-		s.settleHeld(r)
 	}
 	a.target.pool.admission.RecordCompletion(s.now, len(a.target.pool.waiting))
 	s.sendWaiting(a.target.pool)
@@ -144,9 +143,6 @@
 		p.allowTarget(a.target)
 	}
 	p.request.mayHaveRun = p.request.mayHaveRun || ev.Outcome.MayHaveRun()
-	if ev.Outcome == OutcomeBroken && ev.Lost {
-		s.observeLoss(p.request)
-	}
 	switch {
 	case p.phase == partAnswered:
 		s.emit(Discard{Attempt: a.id})
@@ -197,15 +193,6 @@
 		s.markMissing(p)
 		return
 	}
-	if p.request.mayCrashTargets() {
-		s.hold(p)
-		return
-	}
-	s.sendAgain(p)
-}
-
-// sendAgain dispatches a part of which an attempt has ended, if the pool's budget allows it.
-func (s *State) sendAgain(p *part) {
 	if p.sends > 0 && !p.pool.budget.spend(s.options.Budget, s.now, s.nodeCount()) {
 		s.counters.NoBudget++
 		s.markMissing(p)
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -41,8 +41,6 @@
 	// quarantine holds the requests that crash targets, served those answered lately.
 	quarantine *quarantine.Set
 	served     quarantine.Served
-	// losses holds the contents of gathers that may crash targets.
-	losses map[quarantine.Fingerprint]losses
 
 	isolation isolation.Detector
 	// unreachable is the number of unreachable targets.
@@ -62,8 +60,7 @@
 // Failed counts relayed replies with an error status, Gone requests whose caller has
 // disconnected, NoBudget hedges and retries beyond the budget, and Unreached how often
 // a target became unreachable. Delegated counts requests passed on to peers, each time, and
-// Taken those that peers have passed to this node, which Requests includes. Held counts the
-// parts of requests that may crash targets that have waited for an answer to another part.
+// Taken those that peers have passed to this node, which Requests includes.
 type Counters struct {
 	Requests  uint64 `json:"requests"`
 	Answered  uint64 `json:"answered"`
@@ -80,7 +77,6 @@
 	Unreached uint64 `json:"unreached"`
 	Delegated uint64 `json:"delegated"`
 	Taken     uint64 `json:"taken"`
-	Held      uint64 `json:"held"`
 }
 
 // request is a caller's request, kept until its last attempt has ended.
@@ -90,15 +86,10 @@
 	// part of the request.
 	fingerprint quarantine.Fingerprint
 	replied     bool
-	// losses counts the attempts that ended with a lost connection while no target had
-	// answered, those of earlier requests with the same content included. held is the number
-	// of parts in phase partHeld.
-	losses   int
-	held     int
-	route    *route
-	seed     uint64
-	arrived  time.Time
-	deadline time.Time
+	route       *route
+	seed        uint64
+	arrived     time.Time
+	deadline    time.Time
 	// callerDelay is the Delay of RequestArrived.
 	callerDelay time.Duration
 	// due is when the answer must leave to meet the route's goal, or the deadline
@@ -146,9 +137,6 @@
 	partSent
 	partAnswered
 	partMissing
-	// partHeld is the phase of a part that waits for an answer to another one of its
-	// request.
-	partHeld
 )
 
 // part is the share of a request that one pool answers.
@@ -212,7 +200,6 @@
 		nodes:      map[string]int{options.DataCentre: 1},
 		roundTrips: map[string]time.Duration{},
 		quarantine: quarantine.NewSet(),
-		losses:     map[quarantine.Fingerprint]losses{},
 
 		delegations: map[DelegationID]*delegation{},
 	}
@@ -278,7 +265,6 @@
 	case Tick:
 		s.checkIsolation()
 		s.sendDueProbes()
-		s.forgetOldLosses()
 	default:
 		panic(fmt.Sprintf("forward: event of unknown type %T", ev))
 	}
