A stopping control process answers calls that have begun to arrive

Cause: http.Server.Shutdown closes a kept-alive connection as long as the head of its next request hasn't arrived whole. An operator's Config.Replace could be cut off that way, with no sign whether it was made. Same class as the cuts at entry nodes (docs/incidents/late-requests-at-shutdown.md). Change: internal/httpdrain serves calls of targets and operators, with 'Connection: close' once the process stops, for up to 3 s; then the replica stops, as before.

--- a/cmd/wigeon-control/targets.go
+++ b/cmd/wigeon-control/targets.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"wigeonbay/internal/control/driver"
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/httpdrain"
 	"wigeonbay/internal/pack"
 	"wigeonbay/internal/settings"
 	"wigeonbay/internal/telemetry"
@@ -49,17 +52,34 @@
 		telemetry.ControlCallRefused.Log(logger,
 			zap.String("call", r.Method+" "+r.URL.Path), zap.Int("status", status), zap.Error(err))
 	}
-	server := &http.Server{
-		Handler:           platform.ControlHandler(tableStore{node}, logRefusal),
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
+	var stopping atomic.Bool
+	handler := platform.ControlHandler(tableStore{node}, logRefusal)
+	var server *httpdrain.Server
 	start := func(context.Context) error {
 		listener, err := wire.Listen(config.Listen.Targets, nil)
 		if err != nil {
 			return fmt.Errorf("listen for targets: %w", err)
 		}
-		go func() { _ = server.Serve(listener) }()
+		server = httpdrain.Serve(&http.Server{
+			ReadHeaderTimeout: readHeaderTimeout,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if stopping.Load() {
+					w.Header().Set("Connection", "close")
+				}
+				handler.ServeHTTP(w, r)
+			}),
+		}, listener, func() {})
 		return nil
 	}
-	lc.Append(fx.Hook{OnStart: start, OnStop: server.Shutdown})
+	stop := func(ctx context.Context) error {
+		stopping.Store(true)
+		ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+		defer cancel()
+		return server.Shutdown(ctx)
+	}
+	lc.Append(fx.Hook{OnStart: start, OnStop: stop})
 }
+
+// drainTimeout limits how long a stopping process answers calls of targets and operators
+// before its replica stops.
+const drainTimeout = 3 * time.Second
