The time that a passed-on request waits on its way is gone at the peer too

Cause: a call carries the time left, counted from when it was sent. A peer that is full reads it late, and gave its targets the whole of it. Change: a call also carries when it was sent by the calling process's steady clock. The JSON API takes the deadline of the call, not that of the header. The time left is computed when the call is made. Ruled out: wall clocks, which nodes don't share.

--- a/internal/entry/driver/passon.go
+++ b/internal/entry/driver/passon.go
@@ -104,16 +104,21 @@
 	return p
 }
 
-// serveForPeer answers a request that another entry node has passed on. Its deadline is also
-// in the request's header.
-func (n *Node) serveForPeer(ctx context.Context, args *entryrpc.ForwardArgs, _ time.Time, reply *entryrpc.ForwardReply) error {
+// serveForPeer answers a request that another entry node has passed on. The deadline in its
+// header may be too late, as it doesn't count the time on the way.
+func (n *Node) serveForPeer(ctx context.Context, args *entryrpc.ForwardArgs, deadline time.Time, reply *entryrpc.ForwardReply) error {
 	target, err := url.ParseRequestURI(args.URI)
 	if err != nil {
 		return fmt.Errorf("URI of a request: %w", err)
 	}
 	ctx = context.WithValue(ctx, passedOnKey{}, &entry.PassedOn{ConfigVersion: args.TableVersion})
+	header := http.Header(args.Header).Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(api.HeaderDeadline, fmt.Sprint(max(1, time.Until(deadline).Milliseconds())))
 	request := (&http.Request{
-		Method: args.Method, URL: target, RequestURI: args.URI, Host: args.Host, Header: args.Header,
+		Method: args.Method, URL: target, RequestURI: args.URI, Host: args.Host, Header: header,
 		Body: io.NopCloser(bytes.NewReader(args.Body)), ContentLength: int64(len(args.Body)),
 	}).WithContext(ctx)
 	var response responseRecorder
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -159,13 +159,14 @@
 	r := pending.incoming
 	args := &entryrpc.ForwardArgs{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: pending.body,
-		TimeLeftUS: time.Until(e.PeerDeadline).Microseconds(), TableVersion: e.TableVersion, Attempts: e.Attempts, Repeated: e.Repeated,
+		TableVersion: e.TableVersion, Attempts: e.Attempts, Repeated: e.Repeated,
 		AgeUS: e.Age.Microseconds(), DelayUS: e.Delay.Microseconds(),
 	}
 	ctx, cancel := context.WithDeadline(trace.ContextWithSpan(n.ctx, trace.SpanFromContext(pending.ctx)), e.Deadline)
 	p.cancels[e.Delegation] = cancel
 	go func() {
 		defer cancel()
+		args.TimeLeftUS = time.Until(e.PeerDeadline).Microseconds()
 		reply, err := p.client.Forward(ctx, e.Peer.Address, args)
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/entry/peercall/peercall_test.go
+++ b/internal/entry/peercall/peercall_test.go
@@ -84,10 +84,10 @@
 }
 
 func TestCallThatWasCancelledBeforeItBeganDoesNothing(t *testing.T) {
-	s := &service{calls: map[entryrpc.CallID]context.CancelFunc{}, handler: func(context.Context, *entryrpc.ForwardArgs, time.Time, *entryrpc.ForwardReply) error {
+	s := newService(func(context.Context, *entryrpc.ForwardArgs, time.Time, *entryrpc.ForwardReply) error {
 		t.Error("the handler was called")
 		return nil
-	}}
+	})
 	id := entryrpc.CallID{Node: "e1", Number: 7}
 	assert.NilError(t, s.Cancel(&entryrpc.CancelArgs{ID: id}, &entryrpc.CancelReply{}))
 	assert.ErrorIs(t, s.Forward(&entryrpc.ForwardArgs{ID: id}, &entryrpc.ForwardReply{}), ErrCancelled)
--- a/internal/entry/peercall/server.go
+++ b/internal/entry/peercall/server.go
@@ -27,12 +27,17 @@
 
 // Register serves the calls of other entry nodes with a handler.
 func Register(server *wire.Server, handler Handler) error {
-	return server.Register("Entry", &service{handler: handler, calls: map[entryrpc.CallID]context.CancelFunc{}})
+	return server.Register("Entry", newService(handler))
+}
+
+func newService(handler Handler) *service {
+	return &service{handler: handler, transits: newTransits(), calls: map[entryrpc.CallID]context.CancelFunc{}}
 }
 
 // service is the net/rpc receiver.
 type service struct {
-	handler Handler
+	handler  Handler
+	transits *transits
 
 	mu sync.Mutex
 	// calls ends those in progress; earlyCancels holds those that were cancelled before
@@ -43,7 +48,9 @@
 
 // Forward forwards a request for another entry node.
 func (s *service) Forward(args *entryrpc.ForwardArgs, reply *entryrpc.ForwardReply) error {
-	deadline := time.Now().Add(min(time.Duration(args.TimeLeftUS)*time.Microsecond, maxTimeLeft))
+	delay := s.transits.delay(args)
+	deadline := time.Now().Add(min(time.Duration(args.TimeLeftUS)*time.Microsecond, maxTimeLeft) - delay)
+	args.AgeUS += delay.Microseconds()
 	ctx, cancel := args.Envelope.Context(maxTimeLeft)
 	defer cancel()
 	if !s.begin(args.ID, cancel) {
--- a/internal/entryrpc/entryrpc.go
+++ b/internal/entryrpc/entryrpc.go
@@ -36,8 +36,11 @@
 	Host   string
 	Header map[string][]string
 	Body   []byte
-	// TimeLeftUS is the time within which the called node must answer, in microseconds.
+	// TimeLeftUS is the time within which the called node must answer, in microseconds, when
+	// the call was sent. SentUS is that moment, in microseconds since the calling process
+	// started, 0 if unknown: the called node finds out how late the call has arrived.
 	TimeLeftUS int64
+	SentUS     int64
 	// TableVersion is the version of the routing table that must apply.
 	TableVersion uint64
 	// Attempts is the number of targets of each pool that the request may be sent to.
