--- a/internal/entry/driver/passon.go
+++ b/internal/entry/driver/passon.go
@@ -112,7 +112,7 @@
 		return fmt.Errorf("URI of a request: %w", err)
 	}
 	ctx = context.WithValue(ctx, passedOnKey{}, &entry.PassedOn{ConfigVersion: args.TableVersion})
-	header := http.Header(args.Header).Clone()
+	header := http.Header(args.Header)
 	if header == nil {
 		header = http.Header{}
 	}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -189,12 +189,12 @@
 	defer cancel()
 	connections, closeConnections := context.WithCancel(context.Background())
 	defer closeConnections()
-	atEnd := context.AfterFunc(ctx, func() {
+	stopEnding := context.AfterFunc(ctx, func() {
 		n.refusing.Store(true)
 		n.step(forward.ShuttingDown{})
 		time.AfterFunc(lastWriteTime, closeConnections)
 	})
-	defer atEnd()
+	defer stopEnding()
 	n.awaitIdle(ctx)
 	n.peers.refusing.Store(true)
 	err := n.callerServer.Shutdown(connections)
--- a/internal/entry/peercall/client.go
+++ b/internal/entry/peercall/client.go
@@ -36,9 +36,9 @@
 }
 
 // Forward passes a request on to the node at address and waits for the reply or for ctx.
-// It fills in the ID of args and when they were sent. If ctx is cancelled, the node is told to end its work. The
-// error wraps wire.ErrNotSent if the node has certainly not received the request; otherwise
-// the request may have run.
+// It fills in the ID of args and when they were sent. If ctx is cancelled, the node is told
+// to end its work. The error wraps wire.ErrNotSent if the node has certainly not received the
+// request; otherwise the request may have run.
 func (c *Client) Forward(ctx context.Context, address string, args *entryrpc.ForwardArgs) (*entryrpc.ForwardReply, error) {
 	args.ID = entryrpc.CallID{Node: c.node, Start: c.start, Number: c.lastNumber.Add(1)}
 	args.SentUS = max(1, time.Since(c.started).Microseconds())
--- a/internal/entry/peercall/transit.go
+++ b/internal/entry/peercall/transit.go
@@ -27,12 +27,12 @@
 	start uint64
 }
 
-// fastest holds the least difference between the receiver's and the caller's clock, in the
-// current window and the one before.
+// fastest holds the least difference between the receiver's and the caller's clock in the
+// current window, which began at since, and in the one before, each if it had a call.
 type fastest struct {
-	since              time.Duration
-	current, previous  time.Duration
-	hasCurrent, hasOld bool
+	since                   time.Duration
+	current, previous       time.Duration
+	hasCurrent, hasPrevious bool
 }
 
 // transits estimates how late calls arrive. It is safe for concurrent use.
@@ -91,10 +91,10 @@
 func (f *fastest) observe(now, difference time.Duration) time.Duration {
 	switch age := now - f.since; {
 	case age > 2*transitWindow:
-		f.hasCurrent, f.hasOld = false, false
+		f.hasCurrent, f.hasPrevious = false, false
 		f.since = now
 	case age > transitWindow:
-		f.previous, f.hasOld = f.current, f.hasCurrent
+		f.previous, f.hasPrevious = f.current, f.hasCurrent
 		f.hasCurrent = false
 		f.since = now
 	}
@@ -102,7 +102,7 @@
 		f.current, f.hasCurrent = difference, true
 	}
 	least := f.current
-	if f.hasOld {
+	if f.hasPrevious {
 		least = min(least, f.previous)
 	}
 	return difference - least
