Time on the way is measured by clocks that count suspension

Change: both ends use CLOCK_BOOTTIME. A system without it tells nothing, and the whole time left counts, as before.

--- a/internal/entry/peercall/client.go
+++ b/internal/entry/peercall/client.go
@@ -24,15 +24,14 @@
 	wire   *wire.Client
 	logger *zap.Logger
 	node   string
-	// start identifies this process among those of the node, which began at started.
+	// start identifies this process among those of the node.
 	start      uint64
-	started    time.Time
 	lastNumber atomic.Uint64
 }
 
 // NewClient returns a client for the node with the given name. Close closes calls.
 func NewClient(node string, calls *wire.Client, logger *zap.Logger) *Client {
-	return &Client{wire: calls, logger: logger, node: node, start: rand.Uint64(), started: time.Now()}
+	return &Client{wire: calls, logger: logger, node: node, start: rand.Uint64()}
 }
 
 // Forward passes a request on to the node at address and waits for the reply or for ctx.
@@ -41,7 +40,7 @@
 // request; otherwise the request may have run.
 func (c *Client) Forward(ctx context.Context, address string, args *entryrpc.ForwardArgs) (*entryrpc.ForwardReply, error) {
 	args.ID = entryrpc.CallID{Node: c.node, Start: c.start, Number: c.lastNumber.Add(1)}
-	args.SentUS = max(1, time.Since(c.started).Microseconds())
+	args.SentUS = sinceBoot().Microseconds()
 	var reply entryrpc.ForwardReply
 	err := c.wire.Call(ctx, address, entryrpc.MethodForward, args, &reply)
 	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, wire.ErrNotSent) {
--- a/internal/entry/peercall/server.go
+++ b/internal/entry/peercall/server.go
@@ -31,7 +31,7 @@
 }
 
 func newService(handler Handler) *service {
-	return &service{handler: handler, transits: newTransits(), calls: map[entryrpc.CallID]context.CancelFunc{}}
+	return &service{handler: handler, transits: newTransits(sinceBoot), calls: map[entryrpc.CallID]context.CancelFunc{}}
 }
 
 // service is the net/rpc receiver.
--- a/internal/entry/peercall/transit.go
+++ b/internal/entry/peercall/transit.go
@@ -4,14 +4,17 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"wigeonbay/internal/entryrpc"
 )
 
 // A call carries the time that is left for a request. On its way it may wait for a busy
 // process at either end, and that time is gone too: the load answered is that of a node that
-// helps others while it is full itself. The clocks of two nodes can't be compared, so a call
-// is taken to be late by as much as it has taken longer than the fastest recent one of the
-// same process.
+// helps others while it is full itself. The clocks of two nodes have different origins, so a
+// call is taken to be late by as much as it has taken longer than the fastest recent one of
+// the same process. The clocks count the time for which a machine is suspended: otherwise all
+// calls of one that was would seem to be late.
 
 const (
 	// transitWindow is the time for which the fastest call counts, once or twice. It bounds
@@ -37,24 +40,33 @@
 
 // transits estimates how late calls arrive. It is safe for concurrent use.
 type transits struct {
-	started time.Time
+	clock   func() time.Duration
 	mu      sync.Mutex
 	callers map[caller]*fastest
 }
 
-func newTransits() *transits {
-	return &transits{started: time.Now(), callers: map[caller]*fastest{}}
+func newTransits(clock func() time.Duration) *transits {
+	return &transits{clock: clock, callers: map[caller]*fastest{}}
+}
+
+// sinceBoot returns the time since the machine has started, 0 if the system doesn't tell.
+func sinceBoot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0
+	}
+	return time.Duration(now.Nano())
 }
 
 // delay returns how much longer a call that has arrived now was on its way than the fastest
 // one.
 func (t *transits) delay(args *entryrpc.ForwardArgs) time.Duration {
-	if args.SentUS == 0 {
-		return 0 // a node of an earlier version
+	now := t.clock()
+	if args.SentUS == 0 || now == 0 {
+		return 0 // a node of an earlier version, or a system without the clock
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Since(t.started)
 	f := t.find(caller{args.ID.Node, args.ID.Start}, now)
 	if f == nil {
 		return 0
--- a/internal/entry/peercall/transit_test.go
+++ b/internal/entry/peercall/transit_test.go
@@ -16,12 +16,13 @@
 // wait on their way.
 func TestDelayOfCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		transits := newTransits()
 		start := time.Now()
-		// arrive has a call that was sent some time ago by a process that began some time
-		// before start.
+		clock := func() time.Duration { return time.Since(start) }
+		transits := newTransits(clock)
+		// arrive has a call that was sent some time ago by a process on a machine that began
+		// some time before start.
 		arrive := func(node string, process uint64, began, transit time.Duration) time.Duration {
-			sent := time.Since(start) + began - transit
+			sent := clock() + began - transit
 			return transits.delay(&entryrpc.ForwardArgs{ID: entryrpc.CallID{Node: node, Start: process}, SentUS: sent.Microseconds()})
 		}
 		const began, usual = time.Hour, 2 * time.Millisecond
@@ -45,7 +46,8 @@
 
 func TestCallersAreLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		transits := newTransits()
+		start := time.Now().Add(-time.Minute)
+		transits := newTransits(func() time.Duration { return time.Since(start) })
 		call := func(i int) time.Duration {
 			return transits.delay(&entryrpc.ForwardArgs{ID: entryrpc.CallID{Node: fmt.Sprint(i)}, SentUS: 1})
 		}
@@ -73,11 +75,10 @@
 		wait     = 700 * time.Millisecond
 		rounding = 50 * time.Millisecond
 	)
-	began := time.Now().Add(-time.Hour)
 	for i, transit := range []time.Duration{time.Millisecond, wait} {
 		args := &entryrpc.ForwardArgs{
 			ID: entryrpc.CallID{Node: "a", Start: 1, Number: uint64(i)}, TimeLeftUS: timeLeft.Microseconds(),
-			SentUS: (time.Since(began) - transit).Microseconds(),
+			SentUS: (sinceBoot() - transit).Microseconds(),
 		}
 		assert.NilError(t, s.Forward(args, &entryrpc.ForwardReply{}))
 		got := <-calls
--- a/internal/entryrpc/entryrpc.go
+++ b/internal/entryrpc/entryrpc.go
@@ -37,7 +37,7 @@
 	Header map[string][]string
 	Body   []byte
 	// TimeLeftUS is the time within which the called node must answer, in microseconds, when
-	// the call was sent. SentUS is that moment, in microseconds since the calling process
+	// the call was sent. SentUS is that moment, in microseconds since the calling machine
 	// started, 0 if unknown: the called node finds out how late the call has arrived.
 	TimeLeftUS int64
 	SentUS     int64
