review: case 4 with the greatest 32-bit number, and memory_mb kept

The platform's stand-in kills a front node that uses more than memory_mb, so that the case doesn't depend on the machine's memory.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -24,6 +24,7 @@
 	budgetRatio     = 0.2
 	budgetSlack     = 52
 	heartbeatTime   = 1200 * time.Millisecond
+	memoryMB        = 284
 )
 
 var zones = []string{"oeste-a", "serra-a", "litoral-a"}
@@ -201,6 +202,30 @@
 	return m.ownEnds
 }
 
+// limitMemory kills the process, as the platform does, while it uses more than memory_mb,
+// until done is closed.
+func (m *machine) limitMemory(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		m.mu.Lock()
+		process := m.command.Process
+		m.mu.Unlock()
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process.Pid))
+		var size, resident int
+		if _, scanErr := fmt.Sscan(string(text), &size, &resident); err != nil || scanErr != nil {
+			continue // it has ended
+		}
+		if used := resident * os.Getpagesize() >> 20; used > memoryMB {
+			m.cluster.record.line("%s: process %d uses %d MB, more than memory_mb", m.name, process.Pid, used)
+			_ = process.Kill()
+		}
+	}
+}
+
 // end sends a signal, and SIGKILL after the grace time, and waits for the process.
 func (m *machine) end(signal syscall.Signal) {
 	m.mu.Lock()
--- a/review/standin/largetop.go
+++ b/review/standin/largetop.go
@@ -1,12 +1,13 @@
 package main
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
-// unlimitedTop is a top_k that is to mean all records.
-const unlimitedTop = 1_000_000_000_000
+// unlimitedTop is a top_k that is to mean all records: the greatest 32-bit number.
+const unlimitedTop = math.MaxInt32
 
 // largeTop has the operator send a valid version that asks for all records of the parts:
 // its top_k is larger than any answer. Fault: no processes end by themselves three times
@@ -28,8 +29,11 @@
 		return false, err
 	}
 	time.Sleep(contactTime)
+	watched := make(chan struct{})
+	defer close(watched)
 	for _, m := range p.cluster.fronts {
 		m.setRestarts(true)
+		go m.limitMemory(watched)
 	}
 	if trouble {
 		lote.top = unlimitedTop
