Merging a gather takes memory for the records that there are, not for top_k

Cause: TopRecords allocated a heap of top_k entries of 24 bytes before it had read any record. Ruled out: the table (nodes run on until the first request) and the replies (three records each).

Change: the heap is bounded by the number of records in the replies.

--- a/internal/entry/gather/records.go
+++ b/internal/entry/gather/records.go
@@ -10,8 +10,14 @@
 const RecordBytes = 16
 
 // TopRecords returns the k greatest records of all replies in descending byte
-// order. Duplicate records are kept.
+// order. Duplicate records are kept. Its memory depends on the replies, not on k:
+// a routing table may ask for any number of records.
 func TopRecords(replies [][]byte, k int) []byte {
+	available := 0
+	for _, reply := range replies {
+		available += len(reply) / RecordBytes
+	}
+	k = min(k, available)
 	if k <= 0 {
 		return nil
 	}
--- a/internal/entry/gather/records_test.go
+++ b/internal/entry/gather/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,3 +34,14 @@
 		assert.Assert(t, bytes.Equal(TopRecords(replies, k), want), "round %d", round)
 	}
 }
+
+// TestTopRecordsOfALargeTableSetting guards against a node that ends when a routing table
+// asks for more records than its memory holds.
+func TestTopRecordsOfALargeTableSetting(t *testing.T) {
+	smaller, greater := bytes.Repeat([]byte{1}, RecordBytes), bytes.Repeat([]byte{2}, RecordBytes)
+	for _, k := range []int{math.MaxInt, math.MaxInt32} {
+		top := TopRecords([][]byte{smaller, greater}, k)
+		assert.DeepEqual(t, top, append(append([]byte(nil), greater...), smaller...))
+	}
+	assert.Equal(t, len(TopRecords(nil, math.MaxInt)), 0)
+}
