Announced capacities and weights of a split can't overflow what is computed from them

What callers would see: a target that announces a capacity near 2^63 gets no requests at all, as its share of connections becomes negative; a split with weights whose sum is infinite sends all requests to its first pool. Of the JSON API: any writer can announce a layout of 2^31 shards, for which each index of its service takes 34 bytes a shard, or a lease that overflows.

Cause: numbers of messages used as they come.

--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 )
 
 // TargetID is the name of a target, unique in the system.
@@ -95,20 +96,54 @@
 	if a.DataCentre == "" {
 		return fmt.Errorf("target %q names no data centre", a.Target)
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return fmt.Errorf("target %q: address %q is not IP:port", a.Target, a.Address)
+	if err := CheckTargetAddress(a.Address); err != nil {
+		return fmt.Errorf("target %q: %w", a.Target, err)
 	}
 	if a.Slots < 1 || a.Connections < 1 || a.LeaseMS < 1 {
 		return fmt.Errorf("target %q: slots, connections and lease must be positive", a.Target)
 	}
+	if a.Slots > MaxTargetCapacity || a.Connections > MaxTargetCapacity || a.LeaseMS > MaxLease.Milliseconds() {
+		return fmt.Errorf("target %q: at most %d slots, as many connections and a lease of %v are allowed",
+			a.Target, MaxTargetCapacity, MaxLease)
+	}
 	return validateHoldings(a)
 }
 
+// Greatest numbers in an announcement. Entry nodes use memory and compute times in
+// proportion to them.
+const (
+	// MaxTargetCapacity bounds the slots and the connections of a target.
+	MaxTargetCapacity = 1 << 20
+	// MaxLease bounds the lease of a target.
+	MaxLease = 24 * time.Hour
+	// MaxHoldings bounds the snapshots that a target holds.
+	MaxHoldings = 16
+	// MaxLayoutShards bounds the shards of a snapshot's layout.
+	MaxLayoutShards = 1 << 14
+)
+
+// CheckTargetAddress returns an error if an address is not IP:port of a host that can be
+// connected to.
+func CheckTargetAddress(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
+		return fmt.Errorf("address %q is not IP:port", address)
+	}
+	return nil
+}
+
 func validateHoldings(a Announcement) error {
+	if len(a.Holdings) > MaxHoldings {
+		return fmt.Errorf("target %q: %d snapshots; at most %d are allowed", a.Target, len(a.Holdings), MaxHoldings)
+	}
 	for _, h := range a.Holdings {
 		if h.LayoutShards < 1 {
 			return fmt.Errorf("target %q: snapshot %s has no shards", a.Target, h.Snapshot)
 		}
+		if h.LayoutShards > MaxLayoutShards || len(h.Shards) > h.LayoutShards {
+			return fmt.Errorf("target %q: snapshot %s has %d shards in a layout of %d; at most %d are allowed",
+				a.Target, h.Snapshot, len(h.Shards), h.LayoutShards, MaxLayoutShards)
+		}
 		for _, shard := range h.Shards {
 			if int(shard) >= h.LayoutShards {
 				return fmt.Errorf("target %q: shard %d is outside layout of %d shards", a.Target, shard, h.LayoutShards)
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -63,6 +63,37 @@
 	assert.DeepEqual(t, count, map[api.TargetID]int{"ta": 35, "tb": 10, "tc": 5})
 }
 
+// TestSplitFollowsGreatWeights guards against weights whose sum is infinite, after which all
+// requests went to one pool.
+func TestSplitFollowsGreatWeights(t *testing.T) {
+	route := plainRoute("h", "a", true)
+	route.Split = []api.WeightedPool{{Pool: "a", Weight: 1.5e308}, {Pool: "b", Weight: 0.5e308}, {Pool: "c", Weight: 5e-324}}
+	h := newHarness(t, newTable(1, route))
+	for _, pool := range []string{"a", "b", "c"} {
+		h.addTarget("t"+pool, pool, home)
+	}
+	count := map[api.TargetID]int{}
+	for range 40 {
+		send := h.onlySend(h.arrive("h"))
+		count[send.Target]++
+		h.endAttempt(send.Attempt, OutcomeSuccess, 200)
+	}
+	assert.DeepEqual(t, count, map[api.TargetID]int{"ta": 30, "tb": 10})
+}
+
+// TestGreatCapacityOfATargetIsUsed guards against an announced number of slots from which
+// the room that is computed overflows, so that the target gets no requests.
+func TestGreatCapacityOfATargetIsUsed(t *testing.T) {
+	h := newHarness(t, newTable(1, plainRoute("h", "a", true)))
+	h.apply(TargetChanged{Announcement: api.Announcement{
+		Target: "t", Service: "a", DataCentre: home, Incarnation: 1, Sequence: 1,
+		Address: "10.0.0.1:80", State: api.TargetReady, Slots: math.MaxInt,
+	}})
+	for range 5 {
+		assert.Equal(t, len(h.sends(h.arrive("h"))), 1)
+	}
+}
+
 // TestNonIdempotentRequestIsRetriedOnlyIfNotRun ends the attempt of a request that isn't
 // idempotent with each outcome. A retry after one that may have run could run the
 // request twice.
--- a/internal/entry/forward/routes.go
+++ b/internal/entry/forward/routes.go
@@ -103,9 +103,9 @@
 		for _, name := range config.Gather {
 			added.pools = append(added.pools, poolNamed(name))
 		}
+		added.split = newSplitter(config.Split)
 		for _, weighted := range config.Split {
 			added.pools = append(added.pools, poolNamed(weighted.Pool))
-			added.split.weights = append(added.split.weights, weighted.Weight)
 		}
 		r.byHost[config.Host] = append(r.byHost[config.Host], added)
 	}
@@ -149,6 +149,19 @@
 	credit  []float64
 }
 
+// newSplitter divides the weights by the greatest one, so that sums of them are finite.
+func newSplitter(split []api.WeightedPool) splitter {
+	greatest := 0.0
+	for _, weighted := range split {
+		greatest = max(greatest, weighted.Weight)
+	}
+	s := splitter{weights: make([]float64, len(split))}
+	for i, weighted := range split {
+		s.weights[i] = weighted.Weight / greatest
+	}
+	return s
+}
+
 // next returns the index of the pool for the next request.
 func (s *splitter) next() int {
 	if len(s.weights) == 1 {
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -84,6 +84,7 @@
 // updateTarget applies an announcement. A target whose incarnation, address or service
 // has changed is replaced by a new one.
 func (s *State) updateTarget(a api.Announcement) {
+	a.Slots = min(a.Slots, api.MaxTargetCapacity)
 	t := s.targets[a.Target]
 	previous := t
 	if t != nil && (a.State == api.TargetGone || t.announcement.Incarnation != a.Incarnation ||
