A target's keep-alive timeout is bounded before it is converted

Negative it counts as none, so that idle connections are used after the target has closed them; short it opens a new connection for each request.

Test: without the change TestLongKeepAliveDoesNotOverflow gets -2562047h47m16.709551616s in place of an hour.

--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -28,6 +28,9 @@
 	// connection is no longer used. A request sent closer to the timeout could
 	// arrive after the target has closed the connection.
 	keepAliveMargin = 700 * time.Millisecond
+	// maxKeepAlive is the longest keep-alive timeout taken from a reply. Longer ones
+	// would overflow time.Duration.
+	maxKeepAlive = time.Hour
 )
 
 // conn is one connection to a target. It carries one request at a time.
@@ -157,7 +160,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second, true
+			return time.Duration(min(seconds, int(maxKeepAlive/time.Second))) * time.Second, true
 		}
 	}
 	return 0, false
