Deadlines of services and timeouts of calls are bounded before they are converted

What callers would see: searches on a service whose ticket has a deadline_ms beyond 9.2e12 end at once; a call between processes with such a timeout ends after an arbitrary time.

Tickets are not refused for it: a replica that replays its log must accept what an earlier build has accepted.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -208,7 +208,12 @@
 }
 
 // ServiceDeadline returns the default deadline for requests on a service, or 0
-// if none is configured.
+// if none is configured. Tickets may hold any number of milliseconds; a longer one than
+// maxServiceDeadline would overflow time.Duration.
 func (s *State) ServiceDeadline(name string) time.Duration {
-	return time.Duration(s.config.Services[name].DeadlineMS) * time.Millisecond
+	const longest = int64(maxServiceDeadline / time.Millisecond)
+	return time.Duration(min(s.config.Services[name].DeadlineMS, longest)) * time.Millisecond
 }
+
+// maxServiceDeadline is the longest default deadline of a service.
+const maxServiceDeadline = 24 * time.Hour
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -29,10 +29,15 @@
 	return env
 }
 
+// maxEnvelopeTimeout is the longest timeout taken from an envelope. Longer ones would
+// overflow time.Duration.
+const maxEnvelopeTimeout = time.Hour
+
 // Context returns a context with the envelope's deadline and trace context,
 // bounded by fallback when the envelope has no deadline.
 func (e Envelope) Context(fallback time.Duration) (context.Context, context.CancelFunc) {
-	timeout := time.Duration(e.TimeoutMS) * time.Millisecond
+	const longest = int64(maxEnvelopeTimeout / time.Millisecond)
+	timeout := time.Duration(min(e.TimeoutMS, longest)) * time.Millisecond
 	if timeout <= 0 {
 		timeout = fallback
 	}
