Bodies of requests in progress share a bounded memory

What callers would see: a table with a large max_body_bytes, or none, lets a few callers with bodies that it allows fill the memory of an entry node, which is then killed with all its requests.

Replies of targets had a budget already.

Change: that budget is a package of its own, bodyread, which requests use too: 32 MB beyond 16 KB each, held until the request is answered. A body without memory is refused at once with 503, reason no_body_memory, and a retry time; it has not run. A stated length above the limit is refused before the body is read. A body one byte above the limit whose last read also brings its end was accepted; it is not any more.

The test's target now reads bodies before it answers: one that doesn't resets its connection, which is 502.

--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -209,6 +209,8 @@
 	// the routing tables of the two nodes differ.
 	ReasonIsolated   Reason = "isolated"
 	ReasonOtherTable Reason = "other_routing_table"
+	// ReasonBodyMemory refuses a request for whose body the node has no memory now.
+	ReasonBodyMemory Reason = "no_body_memory"
 )
 
 // Summary describes how a request was handled, for the log.
--- /dev/null
+++ b/internal/entry/forwarder/body.go
@@ -0,0 +1,57 @@
+package forwarder
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonbay/internal/entry/bodyread"
+	"wigeonbay/internal/entry/forward"
+	"wigeonbay/internal/telemetry"
+)
+
+const (
+	// maxBodyMemory bounds the memory of the request bodies in progress beyond
+	// bodyread.FreeBytes each. A routing table may allow bodies of any size.
+	maxBodyMemory = 32 << 20
+	// bodyMemoryRetry is the Retry-After of a request whose body has no memory.
+	bodyMemoryRetry = 500 * time.Millisecond
+)
+
+// readBody returns a request's whole body and the memory that it has taken, which the
+// caller gives back once the request is answered.
+func (n *Node) readBody(r *http.Request) (body []byte, taken int, err error) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	n.mu.Lock()
+	limit := n.maxBodyBytes
+	n.mu.Unlock()
+	if limit <= 0 || limit > math.MaxInt32 {
+		limit = math.MaxInt32 // more than maxBodyMemory allows
+	}
+	return bodyread.Read(r.Body, r.ContentLength, int(limit), n.bodyMemory)
+}
+
+// rejectBody answers a request whose body could not be read. Its connection is closed, since
+// the rest of the body may follow.
+func (n *Node) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, bodyread.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, bodyread.ErrNoMemory):
+		status = http.StatusServiceUnavailable
+	}
+	telemetry.ForwardRequestRejected.Log(n.logger,
+		zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)), zap.Int("status", status), zap.Error(err))
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		n.write(w, answer{refusal: &forward.Refuse{Status: status, Reason: forward.ReasonBodyMemory, RetryAfter: bodyMemoryRetry}})
+		return
+	}
+	w.WriteHeader(status)
+}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -19,6 +19,7 @@
 	"wigeonbay/internal/controlrpc"
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/discovery/watch"
+	"wigeonbay/internal/entry/bodyread"
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/httpdrain"
@@ -84,7 +85,9 @@
 	cancels      map[forward.AttemptID]context.CancelFunc
 	ready        readiness
 	maxBodyBytes int64
-	series       seriesNames
+	// bodyMemory is shared by the bodies of the requests in progress.
+	bodyMemory *bodyread.Budget
+	series     seriesNames
 
 	lastRequestID   atomic.Uint64
 	tableVersion    atomic.Uint64
@@ -122,6 +125,8 @@
 		replies:  map[forward.AttemptID]*pool.Reply{},
 		cancels:  map[forward.AttemptID]context.CancelFunc{},
 		series:   newSeriesNames(),
+
+		bodyMemory: bodyread.NewBudget(maxBodyMemory),
 	}
 	cfg.Metrics.AddGauges(n.gauges)
 	n.ctx, n.stop = context.WithCancel(context.Background())
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -71,13 +69,12 @@
 		return
 	}
 	arrived := time.Now()
-	body, status := n.readBody(w, r)
-	if status != 0 {
-		telemetry.ForwardRequestRejected.Log(n.logger,
-			zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)), zap.Int("status", status))
-		w.WriteHeader(status)
+	body, taken, err := n.readBody(r)
+	if err != nil {
+		n.rejectBody(w, r, err)
 		return
 	}
+	defer n.bodyMemory.GiveBack(taken)
 	request := forward.RequestID(n.lastRequestID.Add(1))
 	ctx, span := tracer.Start(r.Context(), "entry.forward", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
@@ -103,30 +100,6 @@
 	n.write(w, a)
 }
 
-// readBody returns a request's whole body, or the HTTP status to refuse it with, which
-// is 0 on success.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0
-	}
-	n.mu.Lock()
-	limit := n.maxBodyBytes
-	n.mu.Unlock()
-	source := r.Body
-	if limit > 0 {
-		source = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(source)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // requestHost returns a request's host without the port.
 func requestHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.Host)
--- a/internal/entry/forwarder/shutdown_test.go
+++ b/internal/entry/forwarder/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -32,6 +33,7 @@
 // slowServiceTime for each request.
 func startServingNode(t *testing.T) *Node {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(slowServiceTime)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signed", "s")
--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"wigeonbay/internal/entry/bodyread"
 )
 
 const (
@@ -39,7 +41,7 @@
 	reader  *bufio.Reader
 	// headLimit is what reader reads from. It bounds the head of a reply.
 	headLimit   *headLimiter
-	replyMemory *memoryBudget
+	replyMemory *bodyread.Budget
 	// hasReplied reports whether the target has answered on this connection.
 	hasReplied bool
 	lastUsed   time.Time
@@ -52,7 +54,7 @@
 	mustClose bool
 }
 
-func newConn(netConn net.Conn, dialTime time.Duration, replyMemory *memoryBudget) *conn {
+func newConn(netConn net.Conn, dialTime time.Duration, replyMemory *bodyread.Budget) *conn {
 	limiter := &headLimiter{source: netConn}
 	return &conn{
 		netConn:     netConn,
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeonbay/internal/api"
+	"wigeonbay/internal/entry/bodyread"
 )
 
 const (
@@ -91,7 +92,7 @@
 type Pool struct {
 	dial Dial
 	// replyMemory is shared by the replies that are being read from all targets.
-	replyMemory memoryBudget
+	replyMemory *bodyread.Budget
 
 	mu         sync.Mutex
 	targets    map[api.TargetID]*target
@@ -121,8 +122,10 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	p := &Pool{dial: dial, targets: map[api.TargetID]*target{}, stopped: make(chan struct{})}
-	p.replyMemory.free.Store(maxReplyMemory)
+	p := &Pool{
+		dial: dial, targets: map[api.TargetID]*target{}, stopped: make(chan struct{}),
+		replyMemory: bodyread.NewBudget(maxReplyMemory),
+	}
 	if config.idleChecks {
 		p.background.Add(1)
 		go p.runIdleChecks()
@@ -136,7 +139,7 @@
 	p.mu.Lock()
 	t := p.targets[id]
 	if t == nil {
-		t = newTarget(address, p.dial, &p.replyMemory)
+		t = newTarget(address, p.dial, p.replyMemory)
 		p.targets[id] = t
 	}
 	p.mu.Unlock()
@@ -282,7 +285,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	c := newConn(netConn, 0, &p.replyMemory)
+	c := newConn(netConn, 0, p.replyMemory)
 	defer c.close()
 	reply, _, err := c.roundTrip(ctx, Request{Method: method, Bytes: request})
 	return reply, err
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"wigeonbay/internal/entry/bodyread"
 )
 
 // errRemoved is returned to requests that wait for a connection to a target
@@ -19,7 +21,7 @@
 // target manages the connections to one target.
 type target struct {
 	dial        Dial
-	replyMemory *memoryBudget
+	replyMemory *bodyread.Budget
 
 	mu sync.Mutex
 	// address is the target's host:port.
@@ -39,7 +41,7 @@
 	changed chan struct{}
 }
 
-func newTarget(address string, dial Dial, replyMemory *memoryBudget) *target {
+func newTarget(address string, dial Dial, replyMemory *bodyread.Budget) *target {
 	return &target{dial: dial, replyMemory: replyMemory, address: address, maxIdle: 1, changed: make(chan struct{})}
 }
 
