An announcement decides about no other target's record

Cause: discovery.Targets let a later incarnation take an address and marked the record that had it as gone, which is final for an incarnation; and any later incarnation of an ID replaced the whole record. Ruled out: that requests reach the other writer (its service has no route), that its check-ins are malformed (they are whole).

Change: there is a record for each target and service, and none concerns another one. Entry nodes decide which registration of those that share an ID or an address is in use, forward/registration.go: the later incarnation, at once, but only in a service that the table names, and only until another target answers at its address, by 421 or by the ID in its health check. Its predecessor is then used again. Events 1326 and 1327 tell it. Offers name the service; those of earlier builds, which don't, are compared with the target's latest record.

--- a/internal/api/forward.go
+++ b/internal/api/forward.go
@@ -11,6 +11,8 @@
 	Signature string
 	// ExpectTarget is the ID of the only target that may run the request.
 	ExpectTarget string
+	// TargetID is the ID of the target that answers a health check.
+	TargetID string
 	// Load is the load that a target reports: running requests, queued requests
 	// and slots, separated by commas, and optionally the current service time in
 	// percent of the usual one.
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -102,7 +102,8 @@
 // nil means that all live entry nodes and control processes that poll this one
 // know it.
 func (n *Node) Announce(ctx context.Context, a api.Announcement) error {
-	_, revision := n.mergeAnnouncement(a, "announced")
+	changed, revision := n.directory.merge(a)
+	n.logTargets(changed, "announced")
 	if a.State.AcceptsWork() {
 		return nil
 	}
@@ -113,14 +114,22 @@
 // Announce does. An incarnation of 0 selects the known one.
 func (n *Node) Depart(ctx context.Context, target api.TargetID, incarnation uint64) error {
 	n.directory.mu.Lock()
-	leaving := n.directory.targets.GoneAnnouncement(target, incarnation)
+	departures := n.directory.targets.Departures(target, incarnation)
 	n.directory.mu.Unlock()
-	_, revision := n.mergeAnnouncement(leaving, "departed")
-	return n.awaitConfirmation(ctx, leaving, revision)
+	if len(departures) == 0 {
+		departures = []api.Announcement{{Target: target, State: api.TargetGone}}
+	}
+	changed, revision := n.directory.merge(departures...)
+	n.logTargets(changed, "departed")
+	return n.awaitConfirmation(ctx, departures[0], revision)
 }
 
-func (n *Node) mergeAnnouncement(a api.Announcement, source string) ([]api.Announcement, uint64) {
-	changed, revision := n.directory.merge(a)
+func (n *Node) mergeAnnouncement(a api.Announcement, source string) {
+	changed, _ := n.directory.merge(a)
+	n.logTargets(changed, source)
+}
+
+func (n *Node) logTargets(changed []api.Announcement, source string) {
 	for _, c := range changed {
 		telemetry.ControlTargetChanged.Log(n.logger,
 			zap.String("target", string(c.Target)),
@@ -130,7 +139,6 @@
 			zap.Uint64("sequence", c.Sequence),
 			zap.String("source", source))
 	}
-	return changed, revision
 }
 
 func (n *Node) awaitConfirmation(ctx context.Context, a api.Announcement, revision uint64) error {
--- a/internal/discovery/offer.go
+++ b/internal/discovery/offer.go
@@ -13,7 +13,9 @@
 // Offer identifies a version of a target's record without its contents. A watcher
 // that already has the record from another control process needs no more than this.
 type Offer struct {
-	Target      api.TargetID
+	Target api.TargetID
+	// Service is empty in offers of processes that hold one record of each target.
+	Service     string
 	Incarnation uint64
 	Sequence    uint64
 	Gone        bool
@@ -29,12 +31,13 @@
 			records = append(records, a)
 			continue
 		}
-		if t.records[a.Target].revision <= known {
+		if t.record(a.Target, a.Service).revision <= known {
 			continue
 		}
 		offers = append(offers, Offer{
-			Target: a.Target, Incarnation: a.Incarnation, Sequence: a.Sequence,
-			Gone: a.State == api.TargetGone, Facts: factsChecksum(a),
+			Target: a.Target, Service: a.Service, Incarnation: a.Incarnation, Sequence: a.Sequence,
+			Gone:  a.State == api.TargetGone,
+			Facts: factsChecksum(a),
 		})
 	}
 	return records, offers
@@ -48,11 +51,17 @@
 	if o.Gone {
 		offered.State = api.TargetGone
 	}
-	if !t.isNewer(offered) {
+	known := t.record(o.Target, o.Service)
+	if o.Service == "" && known == nil {
+		known = t.latest(o.Target)
+	}
+	if known == nil {
+		return false
+	}
+	if !isNewer(offered, known.announcement) {
 		return true
 	}
-	known := t.records[o.Target]
-	if known == nil || known.announcement.Incarnation != o.Incarnation || factsChecksum(known.announcement) != o.Facts {
+	if known.announcement.Incarnation != o.Incarnation || factsChecksum(known.announcement) != o.Facts {
 		return false
 	}
 	known.announcement.Sequence = max(known.announcement.Sequence, o.Sequence)
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -12,12 +12,19 @@
 	"wigeonbay/internal/api"
 )
 
-// Targets holds the newest record of each target.
+// Targets holds the newest record of each target in each service that it has announced.
+//
+// A record concerns no other one. Anyone may announce anything, also in the name of another
+// target or with its address. Which of several records of a target or an address is in use
+// depends on the services that the routing table names, and on what is found at the
+// address: entry nodes decide it.
 type Targets struct {
-	records map[api.TargetID]*record
-	// byAddress maps an address to the target that holds it.
-	byAddress map[string]api.TargetID
-	revision  uint64
+	// records holds the records of each target, nearly always one. A departure whose boot
+	// was not known is a record without a service.
+	records map[api.TargetID][]*record
+	// count is the number of records.
+	count    int
+	revision uint64
 	// drainRevision is the revision of the last change that left a target in a
 	// state that accepts no work.
 	drainRevision uint64
@@ -25,7 +32,7 @@
 	checksum uint64
 }
 
-// record is a target's newest announcement and the revision of its last change.
+// record is a target's newest announcement in a service and the revision of its last change.
 type record struct {
 	announcement api.Announcement
 	revision     uint64
@@ -33,7 +40,7 @@
 
 // NewTargets returns an empty set of records.
 func NewTargets() *Targets {
-	return &Targets{records: map[api.TargetID]*record{}, byAddress: map[string]api.TargetID{}}
+	return &Targets{records: map[api.TargetID][]*record{}}
 }
 
 // Revision returns the number of the last change; each change increments it.
@@ -49,59 +56,98 @@
 func (t *Targets) Checksum() uint64 { return t.checksum }
 
 // Len returns the number of records, those of gone targets included.
-func (t *Targets) Len() int { return len(t.records) }
+func (t *Targets) Len() int { return t.count }
 
-// Find returns the record of a target.
+// Find returns the record of a target's latest incarnation.
 func (t *Targets) Find(id api.TargetID) (api.Announcement, bool) {
-	r := t.records[id]
+	r := t.latest(id)
 	if r == nil {
 		return api.Announcement{}, false
 	}
 	return r.announcement, true
 }
 
-// Merge applies an announcement and returns the records that it changed: the
-// target's own and that of a target which held its address before. Older
+// latest returns the record of a target's latest incarnation, nil if there is none.
+func (t *Targets) latest(id api.TargetID) *record {
+	var latest *record
+	for _, r := range t.records[id] {
+		if latest == nil || r.announcement.Incarnation > latest.announcement.Incarnation {
+			latest = r
+		}
+	}
+	return latest
+}
+
+// record returns the record of a target in a service, nil if there is none.
+func (t *Targets) record(id api.TargetID, service string) *record {
+	for _, r := range t.records[id] {
+		if r.announcement.Service == service {
+			return r
+		}
+	}
+	return nil
+}
+
+// Merge applies an announcement and returns the records that it changed. Older
 // announcements and renewals return nothing; a renewal only updates the sequence
 // number and the fields that the choice of targets does not depend on.
 func (t *Targets) Merge(a api.Announcement) []api.Announcement {
-	if !t.isNewer(a) {
+	if a.State == api.TargetGone && a.Service == "" {
+		return t.mergeDeparture(a)
+	}
+	known := t.record(a.Target, a.Service)
+	if known == nil {
+		if t.hasDeparted(a) {
+			return nil
+		}
+		return []api.Announcement{t.put(a)}
+	}
+	if !isNewer(a, known.announcement) {
 		return nil
 	}
-	known := t.records[a.Target]
-	if known != nil && sameFacts(known.announcement, a) {
+	if sameFacts(known.announcement, a) {
 		known.announcement = a
 		return nil
 	}
+	return []api.Announcement{t.put(a)}
+}
+
+// mergeDeparture applies the departure of an incarnation that the process which recorded it
+// did not know. It concerns the records of that incarnation, those to come included.
+func (t *Targets) mergeDeparture(departure api.Announcement) []api.Announcement {
 	var changed []api.Announcement
-	if a.State != api.TargetGone {
-		holder := t.holder(a.Address)
-		if holder != nil && holder.announcement.Target != a.Target {
-			if holder.announcement.Incarnation > a.Incarnation {
-				// The address belongs to a target with a later incarnation.
-				return nil
-			}
-			changed = append(changed, t.markGone(holder))
+	for _, r := range t.records[departure.Target] {
+		a := r.announcement
+		if a.Service != "" && a.Incarnation == departure.Incarnation && a.State != api.TargetGone {
+			a.State = api.TargetGone
+			changed = append(changed, t.put(a))
 		}
 	}
-	return append(changed, t.put(a))
+	known := t.record(departure.Target, "")
+	if known != nil && departure.Incarnation <= known.announcement.Incarnation {
+		return changed
+	}
+	return append(changed, t.put(departure))
 }
 
-// isNewer reports whether a is newer than the known record of its target. Gone is
-// final for an incarnation: a delayed renewal must not bring the target back.
-func (t *Targets) isNewer(a api.Announcement) bool {
-	known := t.records[a.Target]
-	if known == nil {
-		return true
-	}
-	old := known.announcement
-	if a.Incarnation != old.Incarnation {
-		return a.Incarnation > old.Incarnation
-	}
-	if old.State == api.TargetGone {
+// hasDeparted reports whether the incarnation of an announcement departed before any
+// announcement of it was known.
+func (t *Targets) hasDeparted(a api.Announcement) bool {
+	departed := t.record(a.Target, "")
+	return departed != nil && departed.announcement.Incarnation == a.Incarnation
+}
+
+// isNewer reports whether a is newer than the known record of its target and service. Gone
+// is final for an incarnation: a delayed renewal must not bring the target back.
+func isNewer(a, known api.Announcement) bool {
+	switch {
+	case a.Incarnation != known.Incarnation:
+		return a.Incarnation > known.Incarnation
+	case known.State == api.TargetGone:
 		return false
+	default:
+		return a.State == api.TargetGone || a.Sequence > known.Sequence
 	}
-	return a.State == api.TargetGone || a.Sequence > old.Sequence
 }
 
 // sameFacts reports whether two announcements of a target agree in every field that
@@ -111,34 +157,16 @@
 		a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots
 }
 
-// holder returns the record of the target that holds an address, nil for none.
-func (t *Targets) holder(address string) *record {
-	id, ok := t.byAddress[address]
-	if !ok {
-		return nil
-	}
-	return t.records[id]
-}
-
-// markGone marks a target as gone because another one has taken over its address.
-func (t *Targets) markGone(r *record) api.Announcement {
-	gone := r.announcement
-	gone.State = api.TargetGone
-	return t.put(gone)
-}
-
-// put stores a changed record under a new revision and updates the checksum, the drain
-// revision and the address index.
+// put stores a changed record under a new revision and updates the checksum and the drain
+// revision.
 func (t *Targets) put(a api.Announcement) api.Announcement {
-	r := t.records[a.Target]
+	r := t.record(a.Target, a.Service)
 	if r == nil {
 		r = &record{}
-		t.records[a.Target] = r
+		t.records[a.Target] = append(t.records[a.Target], r)
+		t.count++
 	} else {
 		t.checksum ^= recordChecksum(r.announcement)
-		if t.byAddress[r.announcement.Address] == a.Target {
-			delete(t.byAddress, r.announcement.Address)
-		}
 	}
 	t.revision++
 	r.announcement, r.revision = a, t.revision
@@ -146,19 +174,27 @@
 	if !a.State.AcceptsWork() {
 		t.drainRevision = t.revision
 	}
-	if a.State != api.TargetGone {
-		t.byAddress[a.Address] = a.Target
-	}
 	return a
 }
 
+// all calls a function with each record.
+func (t *Targets) all(yield func(*record) bool) {
+	for _, records := range t.records {
+		for _, r := range records {
+			if !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // Since returns the records that changed after a revision, in order of their changes.
 func (t *Targets) Since(revision uint64) []api.Announcement {
 	if revision >= t.revision {
 		return nil
 	}
 	var changed []*record
-	for _, r := range t.records {
+	for r := range t.all {
 		if r.revision > revision {
 			changed = append(changed, r)
 		}
@@ -171,21 +207,10 @@
 	return out
 }
 
-// GoneAnnouncement returns an announcement that the given incarnation of a target is
-// gone. Incarnation 0 means the known one.
-func (t *Targets) GoneAnnouncement(id api.TargetID, incarnation uint64) api.Announcement {
-	a, known := t.Find(id)
-	if !known || incarnation != 0 && incarnation != a.Incarnation {
-		a = api.Announcement{Target: id, Incarnation: incarnation}
-	}
-	a.State = api.TargetGone
-	return a
-}
-
 // AcceptingWork returns the records of the targets that accept work, sorted by name.
 func (t *Targets) AcceptingWork() []api.Announcement {
 	var accepting []api.Announcement
-	for _, r := range t.records {
+	for r := range t.all {
 		if r.announcement.State.AcceptsWork() {
 			accepting = append(accepting, r.announcement)
 		}
--- a/internal/discovery/withdrawals.go
+++ b/internal/discovery/withdrawals.go
@@ -12,7 +12,7 @@
 // its records from taking a delayed announcement for the newest one.
 func (t *Targets) Withdrawn(limit int) []api.Announcement {
 	var withdrawn []*record
-	for _, r := range t.records {
+	for r := range t.all {
 		if r.announcement.State.Withdrawn() {
 			withdrawn = append(withdrawn, r)
 		}
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -167,6 +167,13 @@
 	Path        string
 }
 
+// TargetDisplaced reports that a target is not used any more, as another registration with
+// its ID or address outranks its own; TargetRestored that it is used again.
+type TargetDisplaced struct{ Announcement, By api.Announcement }
+
+// TargetRestored ends TargetDisplaced.
+type TargetRestored struct{ Announcement api.Announcement }
+
 // ReachabilityChanged reports that a target has become unreachable or reachable again
 // from this node.
 type ReachabilityChanged struct {
@@ -301,5 +308,7 @@
 func (ReportCrash) effect()         {}
 func (VerdictChanged) effect()      {}
 func (ReachabilityChanged) effect() {}
+func (TargetDisplaced) effect()     {}
+func (TargetRestored) effect()      {}
 func (IsolationChanged) effect()    {}
 func (ImpairmentChanged) effect()   {}
--- a/internal/entry/forward/event.go
+++ b/internal/entry/forward/event.go
@@ -196,7 +196,9 @@
 	// replied, healthy or not.
 	Refused  bool
 	Answered bool
-	Demand   Demand
+	// AnsweredBy is the target that the reply names, empty for none.
+	AnsweredBy api.TargetID
+	Demand     Demand
 }
 
 // ShuttingDown answers all pending requests because the process is about to exit.
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -17,6 +17,8 @@
 	budget  budget
 	// routed reports that a route in force refers to the pool.
 	routed bool
+	// named reports that the routing table in force names the pool's service.
+	named bool
 	// waiting is the queue of parts that found no target with room, ordered by
 	// precedes.
 	waiting []*part
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -47,6 +47,9 @@
 	s.observeLiveness(a, ev)
 	took := s.now.Sub(a.sent)
 	work := max(0, took-s.roundTrip(t)-ev.Dialed)
+	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure || ev.Outcome == OutcomeNotRun {
+		s.setRefuted(t, false)
+	}
 	switch ev.Outcome {
 	case OutcomeSuccess:
 		s.markReachable(t)
@@ -74,6 +77,7 @@
 		// unreachable at once.
 		s.recordFailure(t)
 		s.recordFailure(t)
+		s.setRefuted(t, true)
 	case OutcomeNoRoom:
 		t.atLimitUntil = s.now.Add(connectionLimitPause)
 		t.blockedUntil = t.atLimitUntil
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -23,11 +23,13 @@
 	// started is the time of the first event.
 	started time.Time
 
-	table    *api.RoutingTable
-	routes   *routes
-	pools    map[string]*pool
-	targets  map[api.TargetID]*target
-	requests map[RequestID]*request
+	table  *api.RoutingTable
+	routes *routes
+	pools  map[string]*pool
+	// targets holds the targets in use, registrations all that are announced.
+	targets       map[api.TargetID]*target
+	registrations registrations
+	requests      map[RequestID]*request
 	// early holds the requests that wait for the first routing table.
 	early    []earlyRequest
 	attempts map[AttemptID]*attempt
@@ -192,9 +194,12 @@
 // New returns a state without a routing table or targets.
 func New(options Options) *State {
 	return &State{
-		options:    options,
-		pools:      map[string]*pool{},
-		targets:    map[api.TargetID]*target{},
+		options: options,
+		pools:   map[string]*pool{},
+		targets: map[api.TargetID]*target{},
+
+		registrations: newRegistrations(),
+
 		requests:   map[RequestID]*request{},
 		attempts:   map[AttemptID]*attempt{},
 		nodes:      map[string]int{options.DataCentre: 1},
@@ -241,7 +246,7 @@
 	case TableInstalled:
 		s.installTable(ev.Table)
 	case TargetChanged:
-		s.updateTarget(ev.Announcement)
+		s.register(ev.Announcement)
 	case NodesChanged:
 		s.updateNodes(ev.PerDataCentre, ev.Rank)
 	case RequestArrived:
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -59,6 +59,7 @@
 // target is this node's view of a target.
 type target struct {
 	announcement api.Announcement
+	registration *registration
 	pool         *pool
 	local        bool
 	// share is the number of connections that this node may hold to the target.
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -45,16 +45,18 @@
 	}
 	s.table = table
 	for _, p := range s.pools {
-		p.routed = false
+		p.routed, p.named = false, false
 	}
 	for _, config := range table.Pools {
-		s.poolNamed(config.Name).config = config
+		p := s.poolNamed(config.Name)
+		p.config, p.named = config, true
 	}
 	s.routes = newRoutes(table, s.routes, func(name string) *pool {
 		p := s.poolNamed(name)
 		p.routed = true
 		return p
 	})
+	s.settleAll()
 	for _, t := range s.targets {
 		s.shareConnections(t)
 	}
@@ -81,26 +83,22 @@
 	}
 }
 
-// updateTarget applies an announcement. A target whose incarnation, address or service
-// has changed is replaced by a new one.
-func (s *State) updateTarget(a api.Announcement) {
-	a.Slots = min(a.Slots, api.MaxTargetCapacity)
-	t := s.targets[a.Target]
+// updateTarget applies the announcement of a registration that no other one outranks. A
+// target whose incarnation or address has changed is replaced by a new one.
+func (s *State) updateTarget(r *registration) {
+	a, t := r.announcement, r.target
 	previous := t
-	if t != nil && (a.State == api.TargetGone || t.announcement.Incarnation != a.Incarnation ||
-		t.announcement.Address != a.Address || t.announcement.Service != a.Service) {
+	if t != nil && (t.announcement.Incarnation != a.Incarnation || t.announcement.Address != a.Address) {
 		s.removeTarget(t)
 		t = nil
 	}
-	if a.State == api.TargetGone {
-		return
-	}
 	if t == nil {
 		t = newTarget(a, s.now)
 		if previous != nil && previous.announcement.Incarnation == a.Incarnation {
 			t.leaving, t.limit = previous.leaving, previous.limit
 		}
 		t.local = a.DataCentre == s.options.DataCentre
+		t.registration, r.target = r, t
 		s.targets[a.Target] = t
 		s.poolNamed(a.Service).add(t)
 	}
@@ -121,6 +119,7 @@
 func (s *State) removeTarget(t *target) {
 	s.confirmCrash(t)
 	t.announcement.State = api.TargetGone
+	t.registration.target = nil
 	delete(s.targets, t.id())
 	if t.unreachable {
 		s.countUnreachable(-1)
@@ -243,6 +242,9 @@
 	if ev.Answered {
 		s.recordReply()
 	}
+	if ev.AnsweredBy != "" {
+		s.setRefuted(t, ev.AnsweredBy != t.id())
+	}
 	switch {
 	case ev.Refused:
 		s.confirmCrash(t)
--- a/internal/entry/forwarder/attempts.go
+++ b/internal/entry/forwarder/attempts.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"wigeonbay/internal/api"
 	"wigeonbay/internal/entry/forward"
 	"wigeonbay/internal/entry/pool"
 	"wigeonbay/internal/telemetry"
@@ -295,7 +296,8 @@
 			Target: e.Target, Incarnation: e.Incarnation, Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED),
 		}
 		if err == nil {
-			ended.Healthy = reply.Status == http.StatusOK
+			ended.AnsweredBy = api.TargetID(reply.Header.Get(n.cfg.Headers.TargetID))
+			ended.Healthy = reply.Status == http.StatusOK && (ended.AnsweredBy == "" || ended.AnsweredBy == e.Target)
 			ended.Demand = n.demandOf("", reply)
 		}
 		n.step(ended)
--- a/internal/entry/forwarder/effects.go
+++ b/internal/entry/forwarder/effects.go
@@ -71,6 +71,10 @@
 		n.logRateLimit(e)
 	case forward.ReachabilityChanged:
 		n.logReachability(e)
+	case forward.TargetDisplaced:
+		n.logDisplaced(e)
+	case forward.TargetRestored:
+		n.logRestored(e)
 	case forward.ImpairmentChanged:
 		n.logImpairment(e)
 	case forward.IsolationChanged:
@@ -142,3 +146,22 @@
 		zap.Int("failures", e.Failures),
 		zap.Float64("slowdown", e.Slowdown))
 }
+
+func (n *Node) logDisplaced(e forward.TargetDisplaced) {
+	telemetry.ForwardTargetDisplaced.Log(n.logger,
+		zap.String("target", string(e.Announcement.Target)),
+		zap.String("service", e.Announcement.Service),
+		zap.Uint64("incarnation", e.Announcement.Incarnation),
+		zap.String("address", e.Announcement.Address),
+		zap.String("by_target", string(e.By.Target)),
+		zap.String("by_service", e.By.Service),
+		zap.Uint64("by_incarnation", e.By.Incarnation))
+}
+
+func (n *Node) logRestored(e forward.TargetRestored) {
+	telemetry.ForwardTargetRestored.Log(n.logger,
+		zap.String("target", string(e.Announcement.Target)),
+		zap.String("service", e.Announcement.Service),
+		zap.Uint64("incarnation", e.Announcement.Incarnation),
+		zap.String("address", e.Announcement.Address))
+}
--- a/internal/telemetry/events_entry.go
+++ b/internal/telemetry/events_entry.go
@@ -43,6 +43,8 @@
 	ForwardTargetsAnswer           = Event{1322, zapcore.InfoLevel, "targets answer again", "A target has replied to a request or a health check. The field since_reply is how long none did."}
 	ForwardMostUnreachable         = Event{1324, zapcore.WarnLevel, "most targets unreachable", "The node can't reach more than half of the targets. It takes no requests from other entry nodes, and passes on those whose targets it doesn't reach."}
 	ForwardMostReachable           = Event{1325, zapcore.InfoLevel, "most targets reachable again", "The node reaches at least half of the targets."}
+	ForwardTargetDisplaced         = Event{1326, zapcore.InfoLevel, "target displaced", "Another registration with the same ID or address outranks that of the target: it has a later incarnation in a service that the routing table names, and no other target has answered at its address. Usual when a searcher starts again or an address is used again; otherwise another writer announces itself in the name of a searcher."}
+	ForwardTargetRestored          = Event{1327, zapcore.InfoLevel, "target restored", "No registration outranks that of the target any more, so it is used again: the routing table doesn't name the other one's service any more, or another target has answered at its address."}
 	ForwardCancelNotDelivered      = Event{1323, zapcore.WarnLevel, "cancellation not delivered", "The caller of a request that was passed on to another entry node has disconnected, and that node could not be told. It goes on with the request until its deadline or the end of the connection."}
 	ForwardHeaderMalformed         = Event{1313, zapcore.WarnLevel, "malformed header", "A header of a caller or a target could not be parsed and is ignored. Without a deadline the timeout of the route applies; without a load report the node estimates the target's load from its own requests to it."}
 )
@@ -52,7 +54,7 @@
 	EntryStarted, EntryStopped, EntryReloadIgnored, EntryOperatorListenerFailed, EntryTargetEjected, EntryTargetReadmitted, EntryTargetUnreachable,
 	EntrySilentConnection, EntrySnapshotMismatch, EntryNoTargetAnswers, EntryTargetsAnswer, EntryOutcomeNotRecorded,
 	ForwardStarted, ForwardStopped, ForwardDraining, ForwardSettingsReloaded, ForwardTableInForce,
-	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable,
+	ForwardTableInvalid, ForwardTargetChanged, ForwardTargetUnreachable, ForwardTargetReachable, ForwardTargetDisplaced, ForwardTargetRestored,
 	ForwardRequestEnded, ForwardRequestFailedOrDegraded, ForwardRequestRejected, ForwardHeaderMalformed, ForwardTargetHeldBack,
 	ForwardTargetLeaving, ForwardTargetLimited, ForwardTargetLimitLifted,
 	ForwardRequestCrashedTarget, ForwardRequestQuarantined, ForwardRequestReleased, ForwardNoTargetAnswers, ForwardTargetsAnswer, ForwardCancelNotDelivered, ForwardMostUnreachable, ForwardMostReachable,
