A departure that names no incarnation is withdrawn if its target goes on

Cause: a deregistration without born was taken for one of the incarnation that is known when it arrives, and gone is final for an incarnation. One of an unknown target was recorded for incarnation 0, which no entry node heeds, and acknowledged. Ruled out: a late merge of the old incarnation, which never replaces a later one; event 2101 names the new one.

Change: a departure whose sender has closed its connection within 20 ms isn't carried out. One without an incarnation is unconfirmed: it holds at once, and is withdrawn after two announcements of the target, at least a second apart, with sequence numbers that it can only have used since. Processes tell each other the greatest number they knew. One of an unknown target is refused with 503 after 0.2 s in which its record may still come.

--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/telemetry"
+	"wigeonbay/internal/wait"
 )
 
 const (
@@ -43,8 +45,18 @@
 	// entryNodesSettleTime is how long after the start of this process its count of entry
 	// nodes may leave some out, also if they are slow to return.
 	entryNodesSettleTime = 2 * watcherExpiry
+	// abandonedCallTime is how long a departure that names no incarnation waits for the end
+	// of its connection, which follows the call if its sender has given it up.
+	abandonedCallTime = 20 * time.Millisecond
+	// unknownTargetTime is how long such a departure waits for the record of its target.
+	// Together with confirmTimeout it stays below the second that targets wait.
+	unknownTargetTime = 200 * time.Millisecond
 )
 
+// errUnknownTarget means that no process that this one reaches knows a target that leaves.
+// There is nothing to acknowledge, as no entry node is told that it leaves.
+var errUnknownTarget = errors.New("no such target is known")
+
 // errUnconfirmed means that a live watcher may not know that a target leaves.
 // The departure is not acknowledged, since the watcher could go on sending
 // requests to the target after the acknowledgement.
@@ -82,14 +94,26 @@
 	}
 }
 
-// merge merges announcements. It returns the changed records and the revision
-// that contains them.
+// merge merges announcements that this process has been told of. It returns the changed
+// records and the revision that contains them.
 func (d *directory) merge(announcements ...api.Announcement) ([]api.Announcement, uint64) {
+	return d.apply(func() (changed []api.Announcement) {
+		for _, a := range announcements {
+			changed = append(changed, d.targets.Merge(a)...)
+		}
+		return changed
+	})
+}
+
+// hear applies an announcement that a target has made to this process.
+func (d *directory) hear(a api.Announcement) ([]api.Announcement, uint64) {
+	return d.apply(func() []api.Announcement { return d.targets.Hear(time.Now(), a) })
+}
+
+// apply changes the records and wakes the watchers if any has changed.
+func (d *directory) apply(change func() []api.Announcement) ([]api.Announcement, uint64) {
 	d.mu.Lock()
-	var changed []api.Announcement
-	for _, a := range announcements {
-		changed = append(changed, d.targets.Merge(a)...)
-	}
+	changed := change()
 	revision := d.targets.Revision()
 	d.mu.Unlock()
 	if len(changed) > 0 {
@@ -102,7 +126,7 @@
 // nil means that all live entry nodes and control processes that poll this one
 // know it.
 func (n *Node) Announce(ctx context.Context, a api.Announcement) error {
-	changed, revision := n.directory.merge(a)
+	changed, revision := n.directory.hear(a)
 	n.logTargets(changed, "announced")
 	if a.State.AcceptsWork() {
 		return nil
@@ -111,19 +135,45 @@
 }
 
 // Depart records that a target leaves, and waits for the confirmation as
-// Announce does. An incarnation of 0 selects the known one.
+// Announce does. An incarnation of 0 selects the known one, which can only be the one that
+// has sent the departure if its sender still waits for the reply: a late one was given up,
+// and repeated at another process.
 func (n *Node) Depart(ctx context.Context, target api.TargetID, incarnation uint64) error {
-	n.directory.mu.Lock()
-	departures := n.directory.targets.Departures(target, incarnation)
-	n.directory.mu.Unlock()
-	if len(departures) == 0 {
-		departures = []api.Announcement{{Target: target, State: api.TargetGone}}
+	if incarnation == 0 && !wait.Sleep(ctx, abandonedCallTime) {
+		return ctx.Err()
+	}
+	departures, err := n.awaitKnown(ctx, target, incarnation)
+	if err != nil {
+		return err
 	}
 	changed, revision := n.directory.merge(departures...)
 	n.logTargets(changed, "departed")
 	return n.awaitConfirmation(ctx, departures[0], revision)
 }
 
+// awaitKnown returns the announcements that a target departs. A target that this process
+// doesn't know is probably known to another one, whose records then come soon.
+func (n *Node) awaitKnown(ctx context.Context, target api.TargetID, incarnation uint64) ([]api.Announcement, error) {
+	ctx, cancel := context.WithTimeout(ctx, unknownTargetTime)
+	defer cancel()
+	for {
+		changed := n.directory.changed.next()
+		n.directory.mu.Lock()
+		departures := n.directory.targets.Departures(target, incarnation)
+		n.directory.mu.Unlock()
+		if len(departures) > 0 {
+			return departures, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %q", errUnknownTarget, target)
+		case <-n.stop.Done():
+			return nil, errStopping
+		}
+	}
+}
+
 func (n *Node) mergeAnnouncement(a api.Announcement, source string) {
 	changed, _ := n.directory.merge(a)
 	n.logTargets(changed, source)
@@ -137,6 +187,8 @@
 			zap.String("state", string(c.State)),
 			zap.Uint64("incarnation", c.Incarnation),
 			zap.Uint64("sequence", c.Sequence),
+			zap.Bool("unconfirmed", c.Unconfirmed),
+			zap.Uint32("reinstated", c.Reinstated),
 			zap.String("source", source))
 	}
 }
--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -1,10 +1,35 @@
 package discovery
 
-import "wigeonbay/internal/api"
+import (
+	"time"
+
+	"wigeonbay/internal/api"
+)
+
+// A departure may come late, after its sender has started again under the same name, or from
+// another writer. One that names no incarnation is therefore unconfirmed: it holds at once,
+// but is withdrawn once the target itself goes on announcing that it accepts work. What the
+// target has sent before the departure may arrive late too, and is no such sign.
+
+const (
+	// sequencesInFlight is the number of announcements that may be on their way, or known to
+	// nobody, when a departure arrives.
+	sequencesInFlight = 1
+	// continuationTime is the least time between two announcements after a departure that
+	// show that the target goes on. Delayed ones arrive together.
+	continuationTime = time.Second
+)
+
+// continuation is the first announcement after an unconfirmed departure that the target can
+// only have sent after it.
+type continuation struct {
+	sequence uint64
+	at       time.Time
+}
 
 // Departures returns the announcements that a target is gone in each service in which it is
-// known. An incarnation of 0 means the known ones. It returns nothing for an unknown target
-// without an incarnation.
+// known. An incarnation of 0 means the known ones; the departure is then unconfirmed. It
+// returns nothing for an unknown target without an incarnation.
 func (t *Targets) Departures(id api.TargetID, incarnation uint64) []api.Announcement {
 	var departures []api.Announcement
 	for _, r := range t.records[id] {
@@ -12,7 +37,9 @@
 		if a.Service == "" || incarnation != 0 && a.Incarnation != incarnation {
 			continue
 		}
-		a.State = api.TargetGone
+		if a.State != api.TargetGone {
+			a.State, a.Unconfirmed = api.TargetGone, incarnation == 0
+		}
 		departures = append(departures, a)
 	}
 	if len(departures) == 0 && incarnation != 0 {
@@ -20,3 +47,33 @@
 	}
 	return departures
 }
+
+// Hear applies an announcement that a target itself has made to this process. It differs
+// from Merge in that it withdraws an unconfirmed departure if the target goes on.
+func (t *Targets) Hear(now time.Time, a api.Announcement) []api.Announcement {
+	known := t.record(a.Target, a.Service)
+	if known == nil || known.announcement.Incarnation != a.Incarnation {
+		return t.Merge(a)
+	}
+	a.Reinstated = known.announcement.Reinstated
+	if known.goesOn(now, a) {
+		a.Reinstated++
+	}
+	return t.Merge(a)
+}
+
+// goesOn records an announcement of a departed target and reports whether it shows that the
+// target goes on.
+func (r *record) goesOn(now time.Time, a api.Announcement) bool {
+	departed := r.announcement
+	if departed.State != api.TargetGone || !departed.Unconfirmed || !a.State.AcceptsWork() ||
+		a.Sequence <= departed.Sequence || a.Sequence-departed.Sequence <= sequencesInFlight {
+		return false
+	}
+	first := r.continued
+	if first.at.IsZero() {
+		r.continued = continuation{sequence: a.Sequence, at: now}
+		return false
+	}
+	return a.Sequence > first.sequence && now.Sub(first.at) >= continuationTime
+}
--- a/internal/discovery/offer.go
+++ b/internal/discovery/offer.go
@@ -19,6 +19,9 @@
 	Incarnation uint64
 	Sequence    uint64
 	Gone        bool
+	// Unconfirmed and Reinstated are those of the announcement.
+	Unconfirmed bool
+	Reinstated  uint32
 	// Facts is the factsChecksum of the record.
 	Facts uint32
 }
@@ -36,7 +39,7 @@
 		}
 		offers = append(offers, Offer{
 			Target: a.Target, Service: a.Service, Incarnation: a.Incarnation, Sequence: a.Sequence,
-			Gone:  a.State == api.TargetGone,
+			Gone: a.State == api.TargetGone, Unconfirmed: a.Unconfirmed, Reinstated: a.Reinstated,
 			Facts: factsChecksum(a),
 		})
 	}
@@ -47,7 +50,10 @@
 // offer is a renewal of the known record, it adopts the renewal's sequence number as
 // Merge does.
 func (t *Targets) MergeOffer(o Offer) bool {
-	offered := api.Announcement{Target: o.Target, Incarnation: o.Incarnation, Sequence: o.Sequence}
+	offered := api.Announcement{
+		Target: o.Target, Incarnation: o.Incarnation, Sequence: o.Sequence,
+		Unconfirmed: o.Unconfirmed, Reinstated: o.Reinstated,
+	}
 	if o.Gone {
 		offered.State = api.TargetGone
 	}
@@ -61,7 +67,8 @@
 	if !isNewer(offered, known.announcement) {
 		return true
 	}
-	if known.announcement.Incarnation != o.Incarnation || factsChecksum(known.announcement) != o.Facts {
+	if known.announcement.Incarnation != o.Incarnation || known.announcement.Reinstated != o.Reinstated ||
+		factsChecksum(known.announcement) != o.Facts {
 		return false
 	}
 	known.announcement.Sequence = max(known.announcement.Sequence, o.Sequence)
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -36,6 +36,8 @@
 type record struct {
 	announcement api.Announcement
 	revision     uint64
+	// continued is what has been heard of the target since an unconfirmed departure.
+	continued continuation
 }
 
 // NewTargets returns an empty set of records.
@@ -105,6 +107,9 @@
 	if !isNewer(a, known.announcement) {
 		return nil
 	}
+	if a.State == api.TargetGone && a.Incarnation == known.announcement.Incarnation {
+		a.Sequence = max(a.Sequence, known.announcement.Sequence)
+	}
 	if sameFacts(known.announcement, a) {
 		known.announcement = a
 		return nil
@@ -138,23 +143,29 @@
 }
 
 // isNewer reports whether a is newer than the known record of its target and service. Gone
-// is final for an incarnation: a delayed renewal must not bring the target back.
+// is final for an incarnation, unless the departure was withdrawn: a delayed renewal must
+// not bring the target back.
 func isNewer(a, known api.Announcement) bool {
 	switch {
 	case a.Incarnation != known.Incarnation:
 		return a.Incarnation > known.Incarnation
+	case a.Reinstated != known.Reinstated:
+		return a.Reinstated > known.Reinstated
 	case known.State == api.TargetGone:
-		return false
+		// The greatest sequence number that any process knew is needed to tell what
+		// the target has sent since.
+		return a.State == api.TargetGone && a.Unconfirmed && known.Unconfirmed && a.Sequence > known.Sequence
 	default:
 		return a.State == api.TargetGone || a.Sequence > known.Sequence
 	}
 }
 
 // sameFacts reports whether two announcements of a target agree in every field that
-// the choice of targets depends on.
+// the choice of targets depends on, and in the sequence number if the target is gone.
 func sameFacts(a, b api.Announcement) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Service == b.Service &&
-		a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots
+		a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
+		a.Reinstated == b.Reinstated && (a.State != api.TargetGone || a.Sequence == b.Sequence)
 }
 
 // put stores a changed record under a new revision and updates the checksum and the drain
@@ -169,7 +180,7 @@
 		t.checksum ^= recordChecksum(r.announcement)
 	}
 	t.revision++
-	r.announcement, r.revision = a, t.revision
+	r.announcement, r.revision, r.continued = a, t.revision, continuation{}
 	t.checksum ^= recordChecksum(a)
 	if !a.State.AcceptsWork() {
 		t.drainRevision = t.revision
