A shutdown counts connections only once no more are accepted

What callers would see: a connection that is accepted as the listener closes was not counted. Its request got no answer, the process took its whole shutdown time, and a stop could return "use of closed network connection".

Cause: Shutdown closed the listener and went on while http.Server.Serve could still be returning from its last Accept; the HTTP server then closed the listener a second time.

Change: Shutdown waits for Serve to return first.

Test: without the change TestConnectionAcceptedWhileTheListenerClosesIsServed fails ("i/o timeout" after 5 s). The test beside it, without a request, passes without the change too.

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -30,6 +30,8 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	// accepted is closed once no further connection is accepted.
+	accepted chan struct{}
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -39,10 +41,13 @@
 // server must not have been used before. Its handler should answer with "Connection: close"
 // once a shutdown is near, so that callers close their connections themselves.
 func Serve(server *http.Server, listener net.Listener, done func()) *Server {
-	s := &Server{http: server, listener: listener, connections: map[*connection]struct{}{}}
+	s := &Server{
+		http: server, listener: listener, accepted: make(chan struct{}), connections: map[*connection]struct{}{},
+	}
 	server.ConnState = s.connectionChanged
 	go func() {
 		defer done()
+		defer close(s.accepted)
 		// The error is always that the listener was closed, by Shutdown or Close.
 		_ = server.Serve(trackingListener{Listener: listener, server: s})
 	}()
@@ -54,6 +59,13 @@
 // error of ctx if that ends first; the connections left are then closed.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
+	// A connection may have been accepted just before, and not be counted yet. Besides, the
+	// HTTP server would close the listener again while it still accepts.
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+		return errors.Join(ctx.Err(), s.http.Close())
+	}
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for s.expireUnused() > 0 {
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -200,3 +200,77 @@
 		}
 	}
 }
+
+// lateListener returns a connection from Accept only after it was closed, as if it had been
+// accepted just before.
+type lateListener struct {
+	net.Listener
+	late     net.Conn
+	returned atomic.Bool
+	closed   chan struct{}
+	closes   atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	// Shutdown gets time to do what it does without the connection.
+	time.Sleep(3 * checkInterval)
+	if !l.returned.Swap(true) {
+		return l.late, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Close implements net.Listener. As of a TCP listener, only the first call succeeds.
+func (l *lateListener) Close() error {
+	if l.closes.Add(1) > 1 {
+		return net.ErrClosed
+	}
+	close(l.closed)
+	return nil
+}
+
+// TestConnectionAcceptedWhileTheListenerClosesIsServed guards against a shutdown that doesn't
+// count a connection accepted at its begin: it was then waited for until the end of the
+// shutdown time, and cut off there with what it carried.
+//
+// fault: kill x drain
+func TestConnectionAcceptedWhileTheListenerClosesIsServed(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	c := connect(t, plain.Addr().String())
+	late, err := plain.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, plain.Close())
+	listener := &lateListener{Listener: plain, late: late, closed: make(chan struct{})}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "ok")
+	})
+	s := Serve(&http.Server{Handler: handler}, listener, func() {})
+	stopped := make(chan error, 1)
+	began := time.Now()
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	time.Sleep(10 * checkInterval)
+	c.send(t, head)
+	_, err = c.readAnswer()
+	assert.NilError(t, err)
+	assert.NilError(t, <-stopped)
+	assert.Assert(t, time.Since(began) < 2*firstRequestTime)
+}
+
+// TestUnusedConnectionAcceptedWhileTheListenerClosesIsClosed checks the same connection
+// without a request: the shutdown must not wait for it longer than for others.
+func TestUnusedConnectionAcceptedWhileTheListenerClosesIsClosed(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	connect(t, plain.Addr().String())
+	late, err := plain.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, plain.Close())
+	s := Serve(&http.Server{}, &lateListener{Listener: plain, late: late, closed: make(chan struct{})}, func() {})
+	began := time.Now()
+	assert.NilError(t, s.Shutdown(context.Background()))
+	assert.Assert(t, time.Since(began) < 2*firstRequestTime, "%v", time.Since(began))
+}
