A request whose body ends late in a shutdown is refused, not passed on

Cause: whether a stopping node refuses was asked before a request's body was read. One whose body took until after the last pending requests had been answered was admitted all the same, sent to a target, and its connection was closed 0.3 s later; one that isn't idempotent was lost so. The state machine admitted whatever arrived after that point, from callers and from peers.

Change: the node asks again once it has the body, and the state machine refuses everything after the shutdown with 503, which is true: nothing was sent.

Tests: without the change TestRequestReadLateInAShutdownIsRefused gets 200 while others are finished and "unexpected EOF" after all others were answered, and TestNothingIsAdmittedAfterTheShutdown finds no refusal.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -25,6 +25,9 @@
 	// returns. After a restart of the whole system a node gets its table once the
 	// control group has elected a leader and targets have announced themselves.
 	noTableRetry = 900 * time.Millisecond
+	// ShutdownRetry is the retry time of a request refused during shutdown. It is
+	// short, as another node accepts the caller's next connection.
+	ShutdownRetry = 50 * time.Millisecond
 	// minRetryAfter is the least retry time of a request without usable targets, and
 	// the least time that a plain request may wait unsent.
 	minRetryAfter = 50 * time.Millisecond
@@ -43,6 +46,8 @@
 		}
 	}
 	switch {
+	case s.shutDown:
+		s.refuse(r, http.StatusServiceUnavailable, ReasonShutdown, ShutdownRetry)
 	case s.routes != nil:
 		s.admit(r, ev)
 	case s.keepsForTable(ev):
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -167,8 +167,10 @@
 }
 
 // endAllRequests answers all pending requests before the process exits, partially if
-// possible. Closing the connections would give callers no status.
+// possible, and makes those that still arrive be refused. Closing the connections would give
+// callers no status.
 func (s *State) endAllRequests() {
+	s.shutDown = true
 	for _, e := range s.early {
 		s.refuseWithoutTable(e.request)
 	}
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -667,3 +667,22 @@
 		assert.Equal(t, h.onlySend(h.arrive("plain")).Target == "far", c.remote, "the local target is %g times as slow as the remote one", c.slowdown)
 	}
 }
+
+// TestNothingIsAdmittedAfterTheShutdown guards against requests that are admitted once all
+// others were answered: nothing answers them before the process exits.
+func TestNothingIsAdmittedAfterTheShutdown(t *testing.T) {
+	for _, table := range []*api.RoutingTable{nil, newTable(1, plainRoute("h", "a", false))} {
+		h := newHarness(t, table)
+		h.addTarget("t1", "a", home)
+		h.apply(ShuttingDown{})
+		for _, fromPeer := range []*FromPeer{nil, {TableVersion: 1, Attempts: 2}} {
+			h.lastRequest++
+			refused := find[Refuse](h.apply(RequestArrived{Request: h.lastRequest, Host: "h", Path: "/a/x", FromPeer: fromPeer}))
+			assert.Equal(t, len(refused), 1)
+			assert.Equal(t, refused[0].Status, http.StatusServiceUnavailable)
+			assert.Assert(t, refused[0].RetryAfter > 0)
+			assert.Equal(t, len(h.sends(h.lastRequest)), 0)
+		}
+		assert.Equal(t, h.state.InProgress(), 0)
+	}
+}
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -52,6 +52,9 @@
 	// delegations holds the requests that peers have been passed and not answered.
 	delegations map[DelegationID]*delegation
 
+	// shutDown is set once all requests have been answered for the process to exit.
+	shutDown bool
+
 	lastAttempt    AttemptID
 	lastDelegation DelegationID
 	effects        []Effect
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -242,9 +242,6 @@
 	// responses.
 	shutdownMargin = 600 * time.Millisecond
 	lastWriteTime  = shutdownMargin / 2
-	// shutdownRetry is the Retry-After of a request refused during shutdown. It is
-	// short, as another node accepts the caller's next connection.
-	shutdownRetry = 50 * time.Millisecond
 )
 
 // InProgress returns the number of unanswered requests.
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -207,7 +207,7 @@
 	n := p.node
 	reply.Stopping = n.draining.Load()
 	if n.refusing.Load() || p.refusing.Load() {
-		reply.Refusal = &entryrpc.Refusal{Status: http.StatusServiceUnavailable, Reason: string(forward.ReasonShutdown), RetryAfter: shutdownRetry}
+		reply.Refusal = &entryrpc.Refusal{Status: http.StatusServiceUnavailable, Reason: string(forward.ReasonShutdown), RetryAfter: forward.ShutdownRetry}
 		return nil
 	}
 	target, err := url.ParseRequestURI(args.URI)
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -60,12 +60,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if n.refusing.Load() {
-		telemetry.ForwardRequestRejected.Log(n.logger,
-			zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)),
-			zap.Int("status", http.StatusServiceUnavailable))
-		n.write(w, answer{refusal: &forward.Refuse{
-			Status: http.StatusServiceUnavailable, Reason: forward.ReasonShutdown, RetryAfter: shutdownRetry,
-		}})
+		n.refuseForShutdown(w, r)
 		return
 	}
 	arrived := time.Now()
@@ -75,6 +70,11 @@
 		return
 	}
 	defer n.bodyMemory.GiveBack(taken)
+	if n.refusing.Load() {
+		// The body took until now; what is taken so late may be cut off.
+		n.refuseForShutdown(w, r)
+		return
+	}
 	request := forward.RequestID(n.lastRequestID.Add(1))
 	ctx, span := tracer.Start(r.Context(), "entry.forward", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
@@ -100,6 +100,16 @@
 	n.write(w, a)
 }
 
+// refuseForShutdown answers a request that came too late in a shutdown.
+func (n *Node) refuseForShutdown(w http.ResponseWriter, r *http.Request) {
+	telemetry.ForwardRequestRejected.Log(n.logger,
+		zap.String("request", r.Header.Get(n.cfg.Headers.RequestID)),
+		zap.Int("status", http.StatusServiceUnavailable))
+	n.write(w, answer{refusal: &forward.Refuse{
+		Status: http.StatusServiceUnavailable, Reason: forward.ReasonShutdown, RetryAfter: forward.ShutdownRetry,
+	}})
+}
+
 // requestHost returns a request's host without the port.
 func requestHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.Host)
--- a/internal/entry/forwarder/shutdown_test.go
+++ b/internal/entry/forwarder/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,7 +33,13 @@
 // startServingNode starts a node with one route and one target, which takes
 // slowServiceTime for each request.
 func startServingNode(t *testing.T) *Node {
+	return startCountingNode(t, new(atomic.Int64))
+}
+
+// startCountingNode is startServingNode with a counter of the requests that reach the target.
+func startCountingNode(t *testing.T, reached *atomic.Int64) *Node {
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(slowServiceTime)
 		w.Header().Set("Id", r.Header.Get("Id"))
@@ -110,3 +117,37 @@
 	assert.Assert(t, reply.Response != nil || reply.Refusal != nil)
 	assert.NilError(t, <-stopped)
 }
+
+// TestRequestReadLateInAShutdownIsRefused sends the rest of a request's body once the node
+// refuses requests. It must get an answer that says so and not be passed on: guards against
+// requests that are taken late in a shutdown and cut off, without an answer, at its end.
+//
+// fault: kill x drain
+func TestRequestReadLateInAShutdownIsRefused(t *testing.T) {
+	for _, late := range []struct {
+		name  string
+		delay time.Duration
+	}{
+		{"while others are finished", testShutdownTime / 2},
+		{"after all others were answered", testShutdownTime - shutdownMargin + lastWriteTime/3},
+	} {
+		t.Run(late.name, func(t *testing.T) {
+			t.Parallel()
+			var reached atomic.Int64
+			n := startCountingNode(t, &reached)
+			began := time.Now()
+			conn := sendBody(t, n, 2, 1)
+			stopped := make(chan error, 1)
+			go func() { stopped <- n.Stop(t.Context()) }()
+			time.Sleep(time.Until(began.Add(late.delay)))
+			_, err := conn.Write([]byte{0})
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, response.Header.Get("Retry-After") != "")
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, reached.Load(), int64(0))
+		})
+	}
+}
