--- a/cmd/wigeon-control/targets.go
+++ b/cmd/wigeon-control/targets.go
@@ -64,6 +64,7 @@
 		}
 		server = httpdrain.Serve(&http.Server{
 			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 			BaseContext:       func(net.Listener) context.Context { return calls },
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if stopping.Load() {
@@ -88,6 +89,9 @@
 	lc.Append(fx.Hook{OnStart: start, OnStop: stop})
 }
 
+// maxHeaderBytes limits the size of a call's head, whose path names a target.
+const maxHeaderBytes = 16 << 10
+
 // drainTimeout limits how long a stopping process answers calls of targets and operators
 // before its replica stops.
 const drainTimeout = 3 * time.Second
--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -127,12 +127,16 @@
 	MaxLayoutShards = 1 << 14
 )
 
+// maxAddressBytes limits how much of an invalid address an error shows.
+const maxAddressBytes = 64
+
 // CheckTargetAddress returns an error if an address is not IP:port of a host that can be
 // connected to.
 func CheckTargetAddress(address string) error {
 	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
-		return fmt.Errorf("address %q is not IP:port", address)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() ||
+		parsed.Addr().Zone() != "" {
+		return fmt.Errorf("address %.*q is not IP:port", maxAddressBytes, address)
 	}
 	return nil
 }
--- a/internal/api/target_test.go
+++ b/internal/api/target_test.go
@@ -28,6 +28,7 @@
 		"address with port 0":  func(a *Announcement) { a.Address = "10.0.0.1:0" },
 		"port out of range":    func(a *Announcement) { a.Address = "10.0.0.1:65536" },
 		"unspecified address":  func(a *Announcement) { a.Address = "0.0.0.0:80" },
+		"address with a zone":  func(a *Announcement) { a.Address = "[fe80::1%x\r\nA: b]:80" },
 		"shard out of range":   func(a *Announcement) { a.Holdings[0].Shards[0] = 1200 },
 	}
 	for name, change := range cases {
--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -1,11 +1,14 @@
 package driver
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"wigeonbay/internal/discovery"
 	"wigeonbay/internal/quarantine"
 	"wigeonbay/internal/settings"
+	"wigeonbay/internal/wire"
 )
 
 // seededGroup runs control replicas that are configured only with discovery
@@ -552,3 +556,34 @@
 	pollAs("e2", tell(""))
 	assert.Equal(t, len(pollAs("e1", want).EntryPeers), 0)
 }
+
+// TestManyRecordsComeInSeveralReplies guards against a list of targets that is larger than a
+// message between processes may be: its readers would stop following it.
+//
+// fault: other-writer x announce
+func TestManyRecordsComeInSeveralReplies(t *testing.T) {
+	s := newSeededGroup(t, "a")
+	node := s.launch(s.members[0], true)
+	const records = 3*maxReplyRecords + 1
+	for i := range records {
+		a := announcement(fmt.Sprintf("%0128d", i), 1, api.TargetReady)
+		a.Service, a.DataCentre = strings.Repeat("s", 128), strings.Repeat("d", 128)
+		node.directory.targets.Merge(a)
+	}
+	known := discovery.NewTargets()
+	args := controlrpc.WatchArgs{Node: "entry", Kind: discovery.WatcherEntry, DataCentre: "dc-a"}
+	for poll := 0; poll < 5 && known.Len() < records; poll++ {
+		var reply controlrpc.WatchReply
+		node.watchLocal(context.Background(), &args, time.Second, &reply)
+		var encoded bytes.Buffer
+		assert.NilError(t, gob.NewEncoder(&encoded).Encode(&reply))
+		assert.Assert(t, encoded.Len() < wire.MaxMessageBytes/2, "%d bytes", encoded.Len())
+		for _, a := range reply.Targets {
+			known.Merge(a)
+		}
+		args.Epoch, args.Revision = reply.Epoch, reply.Revision
+	}
+	assert.Equal(t, known.Len(), records)
+	assert.Equal(t, known.Checksum(), node.directory.targets.Checksum())
+	assert.Equal(t, args.Revision, node.directory.targets.Revision())
+}
--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -11,6 +11,10 @@
 	"wigeonbay/internal/discovery"
 )
 
+// maxReplyRecords limits the records in a reply, which has at most wire.MaxMessageBytes. A
+// record with the longest names has about 600 bytes.
+const maxReplyRecords = 1 << 13
+
 // fillWatchReply fills in what the watcher lacks.
 func (n *Node) fillWatchReply(args *controlrpc.WatchArgs, since uint64, reply *controlrpc.WatchReply) {
 	d := n.directory
@@ -28,7 +32,11 @@
 	defer d.mu.Unlock()
 	reply.Revision = d.targets.Revision()
 	if !args.Aside {
-		reply.Targets = d.targets.Since(since)
+		reply.Targets = d.targets.Since(since, maxReplyRecords)
+		if len(reply.Targets) == maxReplyRecords {
+			// The watcher's next poll confirms these and gets the next ones.
+			reply.Revision = d.targets.RevisionOf(reply.Targets[maxReplyRecords-1])
+		}
 	} else {
 		reply.RecordsChecksum = d.targets.Checksum()
 		if args.WantOffers {
--- a/internal/discovery/departures_test.go
+++ b/internal/discovery/departures_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 		other := departed(7)
 		merge(other, changed...)
 		assert.Equal(t, stateOf(other), api.TargetReady)
-		merge(other, departed(10).Since(0)...)
+		merge(other, departed(10).Since(0, math.MaxInt)...)
 		assert.Equal(t, stateOf(other), api.TargetReady, "the departure may arrive after its end")
 		assert.Equal(t, len(other.Hear(now, announcement("a", 5, 14, api.TargetDraining, departedAddress))), 1)
 	})
@@ -93,15 +94,15 @@
 		// The departure came to a process that had not heard of the target for long.
 		near, far := departed(3), NewTargets()
 		far.Hear(now, announcement("a", 5, 20, api.TargetReady, departedAddress))
-		merge(far, near.Since(0)...)
-		merge(near, far.Since(0)...)
+		merge(far, near.Since(0, math.MaxInt)...)
+		merge(near, far.Since(0, math.MaxInt)...)
 		for sequence := uint64(15); sequence <= 21; sequence++ {
 			hear(near, sequence, api.TargetReady)
 			hear(far, sequence, api.TargetReady)
 		}
 		assert.Equal(t, stateOf(near), api.TargetGone)
 		assert.Equal(t, stateOf(far), api.TargetGone)
-		assert.Equal(t, len(merge(far, near.Since(0)...)), 0, "processes must not tell each other for ever")
+		assert.Equal(t, len(merge(far, near.Since(0, math.MaxInt)...)), 0, "processes must not tell each other for ever")
 	})
 	t.Run("a target that goes on leaving", func(t *testing.T) {
 		targets := departed(10)
--- a/internal/discovery/offer.go
+++ b/internal/discovery/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc32"
+	"math"
 	"slices"
 	"strconv"
 
@@ -29,7 +30,7 @@
 // Offers returns the changes after a revision: full records for the targets in
 // lacks, and offers for the other targets that changed after the revision known.
 func (t *Targets) Offers(revision, known uint64, lacks []api.TargetID) (records []api.Announcement, offers []Offer) {
-	for _, a := range t.Since(revision) {
+	for _, a := range t.Since(revision, math.MaxInt) {
 		if slices.Contains(lacks, a.Target) {
 			records = append(records, a)
 			continue
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -6,6 +6,7 @@
 package discovery
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -199,8 +200,19 @@
 	}
 }
 
-// Since returns the records that changed after a revision, in order of their changes.
-func (t *Targets) Since(revision uint64) []api.Announcement {
+// RevisionOf returns the revision of the last change of an announcement's record, 0 if there
+// is none.
+func (t *Targets) RevisionOf(a api.Announcement) uint64 {
+	r := t.record(a.Target, a.Service)
+	if r == nil {
+		return 0
+	}
+	return r.revision
+}
+
+// Since returns the records that changed after a revision, in order of their changes, but
+// only the first ones if there are more than most.
+func (t *Targets) Since(revision uint64, most int) []api.Announcement {
 	if revision >= t.revision {
 		return nil
 	}
@@ -210,7 +222,8 @@
 			changed = append(changed, r)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *record) int { return int(a.revision) - int(b.revision) })
+	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
+	changed = changed[:min(len(changed), most)]
 	out := make([]api.Announcement, len(changed))
 	for i, r := range changed {
 		out[i] = r.announcement
--- a/internal/discovery/targets_test.go
+++ b/internal/discovery/targets_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -75,7 +76,7 @@
 	// A process that knows the incarnation is told of the departure by one that does not.
 	other := NewTargets()
 	other.Merge(announcement("a", 5, 9, api.TargetReady, here))
-	merge(other, targets.Since(0)[0])
+	merge(other, targets.Since(0, math.MaxInt)[0])
 	got, _ := other.Find("a")
 	assert.Equal(t, got.State, api.TargetGone)
 	assert.Equal(t, len(targets.Departures("unknown", 0)), 0)
@@ -118,11 +119,11 @@
 	targets.Merge(announcement("b", 1, 1, api.TargetReady, "10.0.0.2:80"))
 	at := targets.Revision()
 	targets.Merge(announcement("a", 1, 2, api.TargetDraining, "10.0.0.1:80"))
-	assert.Equal(t, len(targets.Since(0)), 2)
-	since := targets.Since(at)
+	assert.Equal(t, len(targets.Since(0, math.MaxInt)), 2)
+	since := targets.Since(at, math.MaxInt)
 	assert.Equal(t, len(since), 1)
 	assert.Equal(t, since[0].State, api.TargetDraining)
-	assert.Equal(t, len(targets.Since(targets.Revision())), 0)
+	assert.Equal(t, len(targets.Since(targets.Revision(), math.MaxInt)), 0)
 }
 
 // TestEntryRanksAreDense checks that live entry nodes of a data centre have the ranks from 0
