A replica killed at its first start still takes part in founding the group

Cause: the process starts again with join = true and takes no part in founding; the two others wait for it, as it has the lowest ID and its log is empty. Ruled out: a second group (no event 2006), a damaged folder.

Change: the identity of a data folder says that it was made at a first start. With it and an empty log a process takes part in founding whatever its settings say. One whose disk or log is lost has no such identity, and never founds a group that the others may still hold.

--- a/internal/control/driver/bootstrap.go
+++ b/internal/control/driver/bootstrap.go
@@ -11,11 +11,13 @@
 	"wigeonbay/internal/telemetry"
 )
 
-// canBootstrap reports whether this replica takes part in founding the group:
-// its log is empty, it is configured as one of the first members, and not as
-// one that joins an existing group.
+// canBootstrap reports whether this replica takes part in founding the group: its log is
+// empty, it is configured as one of the first members, and not as one that joins an existing
+// group. One that has started for the first time and ended before the group was founded may
+// be configured to join now, but the other first members wait for it. It holds the data
+// folder of its first start, unlike one whose disk was lost.
 func (n *Node) canBootstrap() bool {
-	return n.isFirstMember() && !n.cfg.Join && n.state.LastIndex() == 0
+	return n.isFirstMember() && (!n.cfg.Join || n.firstStart) && n.state.LastIndex() == 0
 }
 
 // bootstrapGroup contacts the other first members until the group exists. The
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -28,6 +28,8 @@
 	opts      Options
 	self      replica.Identity
 	startedAt time.Time
+	// firstStart is that of the data folder's identity.
+	firstStart bool
 
 	log          *wal.Log
 	state        *replica.State // used by the loop only
@@ -89,6 +91,7 @@
 		Group:          cfg.Group,
 		Replica:        cfg.Node.ID,
 		NewIncarnation: opts.NewIncarnation,
+		FirstStart:     !cfg.Join,
 		SegmentBytes:   cfg.Storage.SegmentBytes,
 		OnFull:         n.awaitDiskSpace,
 	})
@@ -104,6 +107,7 @@
 
 func (n *Node) build(recovered wal.Recovered) error {
 	n.self = replica.Identity{ID: n.cfg.Node.ID, Incarnation: recovered.Identity.Incarnation}
+	n.firstStart = recovered.Identity.FirstStart
 	n.startedAt = time.Now()
 	n.inbox = make(chan any, inboxSize)
 	n.proposals = make(chan proposal, requestQueueSize)
--- a/internal/control/wal/identity.go
+++ b/internal/control/wal/identity.go
@@ -27,6 +27,10 @@
 	// its log gets a new one, so that the replica isn't mistaken for the one that
 	// acknowledged the lost entries.
 	Incarnation string `json:"incarnation"`
+	// FirstStart is set if the folder was initialised by a process that may found the group.
+	// It lasts, so that a process that ended before the group was founded is known from one
+	// whose folder was lost.
+	FirstStart bool `json:"first_start,omitempty"`
 }
 
 // FolderError reports why a data folder was rejected. Its log segments and
--- a/internal/control/wal/log.go
+++ b/internal/control/wal/log.go
@@ -25,6 +25,8 @@
 	Replica string
 	// NewIncarnation generates the incarnation of a folder without a log.
 	NewIncarnation func() string
+	// FirstStart is stored in the identity of a folder without a log.
+	FirstStart bool
 	// SegmentBytes is the size at which the log rotates to a new segment.
 	SegmentBytes int64
 	// OnFull is called when a write fails because the disk is full. It may wait
@@ -138,7 +140,7 @@
 // incarnation, even if it has an identity: either that identity was never used, or
 // the log was lost.
 func (l *Log) loadIdentity(o Options) (identity Identity, fresh bool, err error) {
-	want := Identity{Format: Format, Group: o.Group, Replica: o.Replica}
+	want := Identity{Format: Format, Group: o.Group, Replica: o.Replica, FirstStart: o.FirstStart}
 	found, err := readIdentity(l.files, l.folder)
 	if err != nil {
 		return Identity{}, false, err
