--- a/internal/entry/forwarder/body_test.go
+++ b/internal/entry/forwarder/body_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,19 @@
 		assert.NilError(t, conn.Close())
 	}
 }
+
+// TestLargeHeadIsServed guards against requests that a routing table allows and that are
+// refused for the size of their heads.
+func TestLargeHeadIsServed(t *testing.T) {
+	n := startServingNode(t)
+	t.Cleanup(func() { _ = n.Stop(t.Context()) })
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.cfg.Settings.Listen.Forward+"/x", nil)
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Large", strings.Repeat("x", 98_304))
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -40,9 +40,9 @@
 	idleTimeout = 90 * time.Second
 	// readHeaderTimeout limits the time to read a request's headers.
 	readHeaderTimeout = 5 * time.Second
-	// maxHeaderBytes limits the size of a request's headers; routing tables allow
-	// 16 KB.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes limits the size of a request's headers. Routing tables usually allow
+	// 16 KB, and may allow more.
+	maxHeaderBytes = 1 << 20
 )
 
 // Config configures a Node.
