Upgrades: processes of the previous landing and of this one beside each other

Change: departures are marked when they name the incarnation (Confirmed) in place of when they don't, so that those of earlier builds can be withdrawn like others.

--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -70,11 +70,11 @@
 	// WarmupMS is the time in milliseconds for which a warming target expects to
 	// remain slow; 0 if unknown.
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
-	// Unconfirmed is set in a departure that named no incarnation. Reinstated counts how
-	// often a departure of this incarnation was withdrawn, since the target went on. Both
-	// are set by control processes only.
-	Unconfirmed bool   `json:"unconfirmed,omitempty"`
-	Reinstated  uint32 `json:"reinstated,omitempty"`
+	// Confirmed is set in a departure that named the incarnation. Reinstated counts how
+	// often another departure of this incarnation was withdrawn, since the target went on.
+	// Both are set by control processes only.
+	Confirmed  bool   `json:"confirmed,omitempty"`
+	Reinstated uint32 `json:"reinstated,omitempty"`
 }
 
 // FinalSequence is the sequence of an announcement that no other one of the same
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -187,7 +187,7 @@
 			zap.String("state", string(c.State)),
 			zap.Uint64("incarnation", c.Incarnation),
 			zap.Uint64("sequence", c.Sequence),
-			zap.Bool("unconfirmed", c.Unconfirmed),
+			zap.Bool("confirmed", c.Confirmed),
 			zap.Uint32("reinstated", c.Reinstated),
 			zap.String("source", source))
 	}
--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -7,9 +7,11 @@
 )
 
 // A departure may come late, after its sender has started again under the same name, or from
-// another writer. One that names no incarnation is therefore unconfirmed: it holds at once,
-// but is withdrawn once the target itself goes on announcing that it accepts work. What the
-// target has sent before the departure may arrive late too, and is no such sign.
+// another writer. One that names no incarnation is therefore not confirmed: it holds at once,
+// but is withdrawn once the target itself goes on announcing that it accepts work. So are
+// those of earlier builds, which don't tell, and take a target for gone when another one
+// announces its address. What the target has sent before the departure may arrive late too,
+// and is no such sign.
 
 const (
 	// sequencesInFlight is the number of announcements that may be on their way, or known to
@@ -20,15 +22,15 @@
 	continuationTime = time.Second
 )
 
-// continuation is the first announcement after an unconfirmed departure that the target can
-// only have sent after it.
+// continuation is the first announcement after a departure that isn't confirmed which the
+// target can only have sent after it.
 type continuation struct {
 	sequence uint64
 	at       time.Time
 }
 
 // Departures returns the announcements that a target is gone in each service in which it is
-// known. An incarnation of 0 means the known ones; the departure is then unconfirmed. It
+// known. An incarnation of 0 means the known ones; the departure is then not confirmed. It
 // returns nothing for an unknown target without an incarnation.
 func (t *Targets) Departures(id api.TargetID, incarnation uint64) []api.Announcement {
 	var departures []api.Announcement
@@ -37,19 +39,18 @@
 		if a.Service == "" || incarnation != 0 && a.Incarnation != incarnation {
 			continue
 		}
-		if a.State != api.TargetGone {
-			a.State, a.Unconfirmed = api.TargetGone, incarnation == 0
-		}
+		a.State = api.TargetGone
+		a.Confirmed = a.Confirmed || incarnation != 0
 		departures = append(departures, a)
 	}
 	if len(departures) == 0 && incarnation != 0 {
-		departures = append(departures, api.Announcement{Target: id, Incarnation: incarnation, State: api.TargetGone})
+		departures = append(departures, api.Announcement{Target: id, Incarnation: incarnation, State: api.TargetGone, Confirmed: true})
 	}
 	return departures
 }
 
 // Hear applies an announcement that a target itself has made to this process. It differs
-// from Merge in that it withdraws an unconfirmed departure if the target goes on.
+// from Merge in that it withdraws a departure that isn't confirmed if the target goes on.
 func (t *Targets) Hear(now time.Time, a api.Announcement) []api.Announcement {
 	known := t.record(a.Target, a.Service)
 	if known == nil || known.announcement.Incarnation != a.Incarnation {
@@ -66,7 +67,7 @@
 // target goes on.
 func (r *record) goesOn(now time.Time, a api.Announcement) bool {
 	departed := r.announcement
-	if departed.State != api.TargetGone || !departed.Unconfirmed || !a.State.AcceptsWork() ||
+	if departed.State != api.TargetGone || departed.Confirmed || !a.State.AcceptsWork() ||
 		a.Sequence <= departed.Sequence || a.Sequence-departed.Sequence <= sequencesInFlight {
 		return false
 	}
--- a/internal/discovery/departures_test.go
+++ b/internal/discovery/departures_test.go
@@ -145,3 +145,27 @@
 	assert.Assert(t, watcher.MergeOffer(offers[0]))
 	assert.Equal(t, watcher.Checksum(), control.Checksum())
 }
+
+// TestDepartureOfAnEarlierBuildIsWithdrawn merges the record that a control process of an
+// earlier build makes when another target announces the address: gone, and no more.
+func TestDepartureOfAnEarlierBuildIsWithdrawn(t *testing.T) {
+	targets := NewTargets()
+	targets.Hear(time.Unix(1000, 0), announcement("a", 5, 10, api.TargetReady, departedAddress))
+	targets.Merge(announcement("a", 5, 4, api.TargetGone, departedAddress))
+	for i := range uint64(3) {
+		assert.Equal(t, stateOf(targets), api.TargetGone)
+		targets.Hear(time.Unix(int64(1002+2*i), 0), announcement("a", 5, 11+i, api.TargetReady, departedAddress))
+	}
+	assert.Equal(t, stateOf(targets), api.TargetReady)
+}
+
+// TestDepartureIsConfirmedLater has a target name its incarnation in a second departure.
+func TestDepartureIsConfirmedLater(t *testing.T) {
+	targets := departed(10)
+	assert.Equal(t, len(merge(targets, targets.Departures("a", 5)...)), 1)
+	assert.Equal(t, len(merge(targets, targets.Departures("a", 0)...)), 0)
+	for i := range uint64(5) {
+		targets.Hear(time.Unix(int64(1002+2*i), 0), announcement("a", 5, 12+i, api.TargetReady, departedAddress))
+	}
+	assert.Equal(t, stateOf(targets), api.TargetGone)
+}
--- a/internal/discovery/offer.go
+++ b/internal/discovery/offer.go
@@ -20,9 +20,9 @@
 	Incarnation uint64
 	Sequence    uint64
 	Gone        bool
-	// Unconfirmed and Reinstated are those of the announcement.
-	Unconfirmed bool
-	Reinstated  uint32
+	// Confirmed and Reinstated are those of the announcement.
+	Confirmed  bool
+	Reinstated uint32
 	// Facts is the factsChecksum of the record.
 	Facts uint32
 }
@@ -40,7 +40,7 @@
 		}
 		offers = append(offers, Offer{
 			Target: a.Target, Service: a.Service, Incarnation: a.Incarnation, Sequence: a.Sequence,
-			Gone: a.State == api.TargetGone, Unconfirmed: a.Unconfirmed, Reinstated: a.Reinstated,
+			Gone: a.State == api.TargetGone, Confirmed: a.Confirmed, Reinstated: a.Reinstated,
 			Facts: factsChecksum(a),
 		})
 	}
@@ -53,7 +53,7 @@
 func (t *Targets) MergeOffer(o Offer) bool {
 	offered := api.Announcement{
 		Target: o.Target, Incarnation: o.Incarnation, Sequence: o.Sequence,
-		Unconfirmed: o.Unconfirmed, Reinstated: o.Reinstated,
+		Confirmed: o.Confirmed, Reinstated: o.Reinstated,
 	}
 	if o.Gone {
 		offered.State = api.TargetGone
@@ -73,6 +73,7 @@
 		return false
 	}
 	known.announcement.Sequence = max(known.announcement.Sequence, o.Sequence)
+	known.announcement.Confirmed = known.announcement.Confirmed || o.Confirmed
 	return true
 }
 
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -37,7 +37,7 @@
 type record struct {
 	announcement api.Announcement
 	revision     uint64
-	// continued is what has been heard of the target since an unconfirmed departure.
+	// continued is what has been heard of the target since a departure that isn't confirmed.
 	continued continuation
 }
 
@@ -125,7 +125,7 @@
 	for _, r := range t.records[departure.Target] {
 		a := r.announcement
 		if a.Service != "" && a.Incarnation == departure.Incarnation && a.State != api.TargetGone {
-			a.State = api.TargetGone
+			a.State, a.Confirmed = api.TargetGone, true
 			changed = append(changed, t.put(a))
 		}
 	}
@@ -153,9 +153,9 @@
 	case a.Reinstated != known.Reinstated:
 		return a.Reinstated > known.Reinstated
 	case known.State == api.TargetGone:
-		// The greatest sequence number that any process knew is needed to tell what
-		// the target has sent since.
-		return a.State == api.TargetGone && a.Unconfirmed && known.Unconfirmed && a.Sequence > known.Sequence
+		// A departure may be confirmed later. The greatest sequence number that any
+		// process knew is needed to tell what the target has sent since.
+		return a.State == api.TargetGone && !known.Confirmed && (a.Confirmed || a.Sequence > known.Sequence)
 	default:
 		return a.State == api.TargetGone || a.Sequence > known.Sequence
 	}
@@ -166,7 +166,7 @@
 func sameFacts(a, b api.Announcement) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Service == b.Service &&
 		a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
-		a.Reinstated == b.Reinstated && (a.State != api.TargetGone || a.Sequence == b.Sequence)
+		a.Reinstated == b.Reinstated && a.Confirmed == b.Confirmed && (a.State != api.TargetGone || a.Sequence == b.Sequence)
 }
 
 // put stores a changed record under a new revision and updates the checksum and the drain
--- a/internal/testbin/testbin.go
+++ b/internal/testbin/testbin.go
@@ -3,12 +3,17 @@
 package testbin
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 )
 
+// PreviousCommit is the last landing before the present work. Tests of upgrades run programs
+// of both builds beside each other.
+const PreviousCommit = "3dcf6eb642b16cfdcd1e7b346c6e752e79a1b5cd"
+
 // Build builds the named commands of cmd/ into a new directory and returns its path.
 // The caller must remove the directory.
 func Build(programs ...string) (string, error) {
@@ -16,12 +21,65 @@
 	if err != nil {
 		return "", fmt.Errorf("create a directory for programs: %w", err)
 	}
+	if err := build("", dir, programs); err != nil {
+		return "", errors.Join(err, os.RemoveAll(dir))
+	}
+	return dir, nil
+}
+
+// build builds commands of the module that holds a folder, "" for the current one, into dir.
+func build(source, dir string, programs []string) error {
 	args := []string{"build", "-o", dir + "/"}
 	for _, program := range programs {
 		args = append(args, "wigeonbay/cmd/"+program)
 	}
-	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
-		return "", errors.Join(fmt.Errorf("build programs: %w: %s", err, out), os.RemoveAll(dir))
+	command := exec.Command("go", args...)
+	command.Dir = source
+	if out, err := command.CombinedOutput(); err != nil {
+		return fmt.Errorf("build programs: %w: %s", err, out)
+	}
+	return nil
+}
+
+// BuildPrevious is like Build for the commands as of PreviousCommit. It needs the history of
+// the repository.
+func BuildPrevious(programs ...string) (string, error) {
+	source, err := os.MkdirTemp("", "wigeonbay-previous")
+	if err != nil {
+		return "", fmt.Errorf("create a directory for sources: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(source) }()
+	if err := extract(PreviousCommit, source); err != nil {
+		return "", fmt.Errorf("sources of %.7s: %w", PreviousCommit, err)
+	}
+	dir, err := os.MkdirTemp("", "wigeonbay")
+	if err != nil {
+		return "", fmt.Errorf("create a directory for programs: %w", err)
+	}
+	if err := build(source, dir, programs); err != nil {
+		return "", errors.Join(err, os.RemoveAll(dir))
 	}
 	return dir, nil
 }
+
+// extract writes the sources of a commit into a folder.
+func extract(commit, folder string) error {
+	top, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+	if err != nil {
+		return fmt.Errorf("find the repository: %w", err)
+	}
+	archive := exec.Command("git", "archive", "--format=tar", commit, "--", "go.mod", "go.sum", "cmd", "internal", "platform")
+	archive.Dir = string(bytes.TrimSpace(top))
+	var complaint bytes.Buffer
+	archive.Stderr = &complaint
+	sources, err := archive.Output()
+	if err != nil {
+		return fmt.Errorf("git archive: %w: %s", err, complaint.Bytes())
+	}
+	unpack := exec.Command("tar", "-x", "-C", folder)
+	unpack.Stdin = bytes.NewReader(sources)
+	if out, err := unpack.CombinedOutput(); err != nil {
+		return fmt.Errorf("tar: %w: %s", err, out)
+	}
+	return nil
+}
