--- a/internal/entry/forwarder/truncated_test.go
+++ b/internal/entry/forwarder/truncated_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -53,18 +54,21 @@
 			}},
 		}
 		n.step(forward.TableInstalled{Table: table})
-		request, err := http.NewRequest(http.MethodGet, "http://"+n.cfg.Settings.Listen.Forward+"/x", nil)
+		// The same request again would be taken for one that crashes targets.
+		request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/%d", n.cfg.Settings.Listen.Forward, length), nil)
 		assert.NilError(t, err)
 		request.Host = "h"
 		request.Header.Set("Id", "r1")
 		response, err := http.DefaultClient.Do(request)
 		assert.NilError(t, err)
+		reason, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
 		assert.NilError(t, response.Body.Close())
 		want := http.StatusBadGateway
 		if length == len(whole) {
 			want = http.StatusOK
 		}
-		assert.Equal(t, response.StatusCode, want, "%q", whole[:length])
+		assert.Equal(t, response.StatusCode, want, "%q: %s", whole[:length], reason)
 		_ = listener.Close() // the target may have closed it
 	}
 }
