A target isn't moved to a service that no ticket has created

Cause: the later incarnation of a name replaces its record, whatever service it names.

Change: the entry node that gets such an announcement refuses it with 400 and says why. A target that moves to a new service announces itself again once a ticket has created it. Entry nodes that spread records among themselves are not asked: those come from nodes that have been.

--- a/internal/entry/driver/callers.go
+++ b/internal/entry/driver/callers.go
@@ -162,7 +162,7 @@
 	var a api.Announcement
 	problem := n.readBody(w, r, &a)
 	if problem == nil {
-		if err := a.Validate(); err != nil {
+		if err := errors.Join(a.Validate(), n.checkAnnouncement(a)); err != nil {
 			problem = badRequest(err.Error())
 		}
 	}
@@ -179,6 +179,12 @@
 	jsonanswer.Write(w, http.StatusOK, reply)
 }
 
+func (n *Node) checkAnnouncement(a api.Announcement) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.CheckAnnouncement(a)
+}
+
 // readRequest reads a request's body and determines its deadline. It returns a
 // problem for an invalid request, and while the node has no configuration.
 func (n *Node) readRequest(w http.ResponseWriter, r *http.Request, body any) (time.Time, *api.Problem) {
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -68,6 +69,22 @@
 	}
 }
 
+// CheckAnnouncement returns an error if an announcement would take a target out of use in the
+// name of a service that no ticket has created. Anyone can announce anything; a target that
+// moves to a new service announces itself again once the service exists.
+func (s *State) CheckAnnouncement(a api.Announcement) error {
+	t := s.targets[a.Target]
+	if t == nil || t.Announced.Service == a.Service || s.isConfigured(a.Service) || !s.isConfigured(t.Announced.Service) {
+		return nil
+	}
+	return fmt.Errorf("target %q is in service %q; service %q does not exist", a.Target, t.Announced.Service, a.Service)
+}
+
+func (s *State) isConfigured(service string) bool {
+	_, ok := s.config.Services[service]
+	return ok
+}
+
 func (s *State) handleTargetChanged(ev TargetChanged) {
 	a := ev.Announcement
 	t := s.targets[a.Target]
