A target that was removed doesn't count as unreachable

What callers would see: a node that takes itself for cut off from most targets, and passes requests on or takes none from others, though it reaches those that it uses; or the other way round.

Cause: attempts in flight outlast their target when it is gone or displaced. Their end counted it as reachable or unreachable again.

Test: without the change TestRemovedTargetIsNotCountedAsUnreachable counts -1 after a success.

--- a/internal/entry/forward/registration_test.go
+++ b/internal/entry/forward/registration_test.go
@@ -166,3 +166,25 @@
 		assert.Equal(t, len(find[Probe](h.tickFor(3*maxProbeInterval))), 0, "nobody needs to ask there again")
 	})
 }
+
+// TestRemovedTargetIsNotCountedAsUnreachable ends attempts that were in flight when their
+// target was displaced. Guards against a node that takes itself for cut off from most targets,
+// because it counts some that it doesn't use any more.
+func TestRemovedTargetIsNotCountedAsUnreachable(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeNotSent, OutcomeWrongTarget, OutcomeSuccess} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			h := newSharedHarness(t)
+			requests := []RequestID{h.arrive("first"), h.arrive("first"), h.arrive("first")}
+			h.endAttempt(h.onlySend(requests[0]).Attempt, OutcomeWrongTarget, http.StatusMisdirectedRequest)
+			assert.Equal(t, h.state.unreachable, 1)
+			h.apply(TargetChanged{Announcement: registrationOf("new", "second", 8, sharedAddress)})
+			assert.Equal(t, h.state.unreachable, 0)
+			for _, request := range requests[1:] {
+				for _, send := range h.sends(request) {
+					h.endAttempt(send.Attempt, outcome, http.StatusOK)
+				}
+			}
+			assert.Equal(t, h.state.unreachable, 0)
+		})
+	}
+}
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -122,6 +122,7 @@
 	t.registration.target = nil
 	delete(s.targets, t.id())
 	if t.unreachable {
+		t.unreachable = false
 		s.countUnreachable(-1)
 	}
 	t.pool.remove(t)
@@ -281,6 +282,9 @@
 // recordFailure counts a failure to reach a target, which becomes unreachable after
 // failuresToUnreachable in a row.
 func (s *State) recordFailure(t *target) {
+	if s.targets[t.id()] != t {
+		return // removed with attempts in flight
+	}
 	t.failures++
 	if t.failures < failuresToUnreachable || t.unreachable {
 		return
