A route's attempts can't overflow the limit of sends computed from them

What callers would see: on a route with attempts near 2^63 a request that its first target didn't run is not retried.

Found by reading once more where numbers of a table go.

Test: without the change TestGreatNumberOfAttemptsAllowsRetries finds no second send.

--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -28,6 +28,9 @@
 	// ShutdownRetry is the retry time of a request refused during shutdown. It is
 	// short, as another node accepts the caller's next connection.
 	ShutdownRetry = 50 * time.Millisecond
+	// maxAttempts is the greatest number of attempts taken from a route. It keeps numbers
+	// computed from it from overflowing.
+	maxAttempts = 1 << 20
 	// minRetryAfter is the least retry time of a request without usable targets, and
 	// the least time that a plain request may wait unsent.
 	minRetryAfter = 50 * time.Millisecond
@@ -131,7 +134,7 @@
 		r.parts[i] = &parts[i]
 	}
 	r.pending = len(r.parts)
-	r.attempts = max(1, r.route.config.Attempts)
+	r.attempts = min(max(1, r.route.config.Attempts), maxAttempts)
 	arrived := r.arrived
 	if d := r.fromPeer; d != nil {
 		r.attempts = max(1, min(r.attempts, d.Attempts))
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -81,6 +81,20 @@
 	assert.DeepEqual(t, count, map[api.TargetID]int{"ta": 30, "tb": 10})
 }
 
+// TestGreatNumberOfAttemptsAllowsRetries guards against a route whose attempts are so many that
+// the limit of sends computed from them overflows, so that nothing is retried.
+func TestGreatNumberOfAttemptsAllowsRetries(t *testing.T) {
+	route := plainRoute("h", "a", true)
+	route.Attempts = math.MaxInt
+	h := newHarness(t, newTable(1, route))
+	h.addTarget("t1", "a", home)
+	h.addTarget("t2", "a", home)
+	request := h.arrive("h")
+	first := h.onlySend(request)
+	h.endAttempt(first.Attempt, OutcomeNotRun, http.StatusServiceUnavailable)
+	assert.Assert(t, h.onlySend(request).Target != first.Target)
+}
+
 // TestGreatCapacityOfATargetIsUsed guards against an announced number of slots from which
 // the room that is computed overflows, so that the target gets no requests.
 func TestGreatCapacityOfATargetIsUsed(t *testing.T) {
