--- a/internal/entry/forward/registration.go
+++ b/internal/entry/forward/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"wigeonbay/internal/api"
 )
@@ -67,7 +68,7 @@
 		return r
 	}
 	if known := r.announcement; known.Address != a.Address {
-		rs.byAddress[known.Address] = without(rs.byAddress[known.Address], r)
+		rs.byAddress[known.Address] = slices.DeleteFunc(rs.byAddress[known.Address], func(other *registration) bool { return other == r })
 		if len(rs.byAddress[known.Address]) == 0 {
 			delete(rs.byAddress, known.Address)
 		}
@@ -80,16 +81,6 @@
 	return r
 }
 
-func without(list []*registration, r *registration) []*registration {
-	var out []*registration
-	for _, other := range list {
-		if other != r {
-			out = append(out, other)
-		}
-	}
-	return out
-}
-
 // register applies an announcement. A departure without a service concerns all
 // registrations of its incarnation.
 func (s *State) register(a api.Announcement) {
