A stop accepts the connections that the kernel holds before it closes the listener

Cause: httpdrain.Shutdown closed the listener at once. A node that was paused in its planned stop goes on with its drain time over and nothing in progress, so it closes the listener before the accept loop has taken the connections made meanwhile, and the kernel resets them with their requests.

Change: Shutdown goes on accepting until no connection waits (package socket, which also takes over httpdrain's look for bytes to read).

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wigeonbay/internal/socket"
 )
 
 const (
@@ -58,6 +60,12 @@
 // arrived is answered, and closes the connections as they become unused. It returns the
 // error of ctx if that ends first; the connections left are then closed.
 func (s *Server) Shutdown(ctx context.Context) error {
+	// Closing the listener would reset the connections that the kernel holds for it, although
+	// their requests may have arrived.
+	return errors.Join(socket.AwaitAccepted(ctx, s.listener), s.shutdown(ctx))
+}
+
+func (s *Server) shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
 	// A connection may have been accepted just before, and not be counted yet. Besides, the
 	// HTTP server would close the listener again while it still accepts.
@@ -154,7 +162,7 @@
 		if n > 0 {
 			c.readLast, c.used = true, true
 		}
-		retry := n == 0 && c.expired && errors.Is(err, os.ErrDeadlineExceeded) && c.hasInput()
+		retry := n == 0 && c.expired && errors.Is(err, os.ErrDeadlineExceeded) && socket.HasInput(c.Conn)
 		if retry {
 			c.expired = false
 			err = c.Conn.SetReadDeadline(time.Time{})
@@ -205,18 +213,3 @@
 	defer c.mu.Unlock()
 	c.active = active
 }
-
-// hasInput reports whether there are bytes to read. The end of the stream is none.
-func (c *connection) hasInput() bool {
-	rawConn, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	found := false
-	err = rawConn.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, peekErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = peekErr == nil && n > 0
-	})
-	return err == nil && found
-}
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -274,3 +274,74 @@
 	assert.NilError(t, s.Shutdown(context.Background()))
 	assert.Assert(t, time.Since(began) < 2*firstRequestTime, "%v", time.Since(began))
 }
+
+// pausedListener accepts no connection until it is resumed, like a process that is paused or
+// gets no processor.
+type pausedListener struct {
+	*net.TCPListener
+	resumed, closed chan struct{}
+}
+
+func newPausedListener(t *testing.T) *pausedListener {
+	plain, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	return &pausedListener{TCPListener: plain, resumed: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pausedListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.resumed:
+	case <-l.closed:
+	}
+	return l.TCPListener.Accept()
+}
+
+// Close implements net.Listener.
+func (l *pausedListener) Close() error {
+	err := l.TCPListener.Close()
+	if err == nil {
+		close(l.closed)
+	}
+	return err
+}
+
+// TestConnectionsThatOnlyTheKernelHasAcceptedAreServed begins a shutdown while connections
+// with requests wait to be accepted. Guards against closing the listener before, which resets
+// them.
+//
+// fault: kill x drain
+func TestConnectionsThatOnlyTheKernelHasAcceptedAreServed(t *testing.T) {
+	listener := newPausedListener(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "ok")
+	})
+	s := Serve(&http.Server{Handler: handler}, listener, func() {})
+	var callers []*caller
+	for range 20 {
+		c := connect(t, listener.Addr().String())
+		c.send(t, head)
+		callers = append(callers, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	time.Sleep(5 * checkInterval)
+	close(listener.resumed)
+	for _, c := range callers {
+		_, err := c.readAnswer()
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, <-stopped)
+}
+
+// TestShutdownDoesNotWaitForConnectionsPastItsContext lets the context end while a connection
+// still waits to be accepted.
+func TestShutdownDoesNotWaitForConnectionsPastItsContext(t *testing.T) {
+	listener := newPausedListener(t)
+	s := Serve(&http.Server{}, listener, func() {})
+	connect(t, listener.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*checkInterval)
+	defer cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+}
