A stopping node replies to calls of other nodes that it has not read yet

What callers would see: 502 for a request that another entry node passed on to one that is stopping, or frozen while it stops.

Change: it goes on accepting until no connection waits, and counts unread calls, and connections accepted within the last second, as in use. Two checks in a row must find nothing, since one may fall between the read of a call's first byte and its counting. A TLS listener gives access to its socket. Shutdown returns an error, which a node's Stop passes on.

--- a/internal/entry/driver/node.go
+++ b/internal/entry/driver/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -131,7 +132,7 @@
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
 	n.peers.stop(ctx)
-	n.rpc.Shutdown(ctx)
+	err = errors.Join(err, n.rpc.Shutdown(ctx))
 	n.ledger.awaitRecords(ctx)
 	n.stop()
 	n.passOnCalls.Close()
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -204,7 +205,7 @@
 	n.peers.refusing.Store(true)
 	err := n.callerServer.Shutdown(connections)
 	_ = n.readinessServer.Close()
-	n.peers.stop(connections)
+	err = errors.Join(err, n.peers.stop(connections))
 	n.stop()
 	n.watcher.Stop()
 	n.client.Close()
--- a/internal/entry/forwarder/peering.go
+++ b/internal/entry/forwarder/peering.go
@@ -75,12 +75,13 @@
 	return nil
 }
 
-// stop answers the calls in progress until ctx ends, and closes all connections.
-func (p *peering) stop(ctx context.Context) {
-	if p.server != nil {
-		p.server.Shutdown(ctx)
+// stop answers the calls that have arrived until ctx ends, and closes all connections.
+func (p *peering) stop(ctx context.Context) error {
+	defer p.client.Close()
+	if p.server == nil {
+		return nil
 	}
-	p.client.Close()
+	return p.server.Shutdown(ctx)
 }
 
 // state returns what control processes are told. A node that stops or is impaired takes
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wigeonbay/internal/socket"
 )
 
 // Timeouts limits how long a server waits on a connection.
@@ -39,9 +41,10 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[net.Conn]struct{}
-	closed   bool
-	running  sync.WaitGroup
+	// conns holds the open connections and when they were accepted.
+	conns   map[net.Conn]time.Time
+	closed  bool
+	running sync.WaitGroup
 	// calls counts the calls of which the first byte has arrived and that are not replied to.
 	calls atomic.Int64
 }
@@ -60,7 +63,7 @@
 		rpc:      rpc.NewServer(),
 		timeouts: DefaultTimeouts(),
 		limit:    MaxMessageBytes,
-		conns:    map[net.Conn]struct{}{},
+		conns:    map[net.Conn]time.Time{},
 	}
 	for _, option := range options {
 		option(s)
@@ -77,7 +80,7 @@
 	if err != nil || config == nil {
 		return listener, err
 	}
-	return tls.NewListener(listener, config), nil
+	return newTLSListener(listener, config), nil
 }
 
 // Register registers the exported methods of receiver under name.
@@ -99,22 +102,60 @@
 
 // Shutdown stops accepting connections, goes on serving calls on the open ones until none is
 // in progress or ctx ends, and then closes the server. Its methods should refuse new calls,
-// as callers that don't stop calling delay it.
-func (s *Server) Shutdown(ctx context.Context) {
+// as callers that don't stop calling delay it. An error means that connections waiting to be
+// accepted may have been reset.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	// A call that has arrived is replied to even if its connection is not accepted yet.
+	err := socket.AwaitAccepted(ctx, listener)
 	s.stopAccepting()
 	ticker := time.NewTicker(shutdownCheckInterval)
 	defer ticker.Stop()
-	for s.calls.Load() > 0 && ctx.Err() == nil {
+	for quietChecks := 0; quietChecks < requiredQuietChecks && ctx.Err() == nil; {
+		quietChecks++
+		if s.inUse() {
+			quietChecks = 0
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 		}
 	}
 	s.Close()
-}
+	return err
+}
+
+const (
+	// shutdownCheckInterval is the time between two checks for calls in progress.
+	shutdownCheckInterval = 10 * time.Millisecond
+	// requiredQuietChecks is how many checks in a row must find no call. One alone may fall
+	// between the read of a call's first byte and its counting.
+	requiredQuietChecks = 2
+	// firstCallTime is how long after it was accepted a connection may wait for its handshake
+	// and its first call, for which its client has made it.
+	firstCallTime = time.Second
+)
 
-// shutdownCheckInterval is the time between two checks for calls in progress.
-const shutdownCheckInterval = 10 * time.Millisecond
+// inUse reports whether calls are in progress, wait to be read, or are about to come on new
+// connections.
+func (s *Server) inUse() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, accepted := range s.conns {
+		if time.Since(accepted) < firstCallTime {
+			return true
+		}
+		if secure, ok := conn.(*tls.Conn); ok {
+			conn = secure.NetConn()
+		}
+		if socket.HasInput(conn) {
+			return true
+		}
+	}
+	return s.calls.Load() > 0
+}
 
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
@@ -186,7 +227,7 @@
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = time.Now()
 	return true
 }
 
--- a/internal/wire/tls.go
+++ b/internal/wire/tls.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 )
 
 // LoadClientTLS returns the configuration for connecting with mutual TLS 1.3.
@@ -111,5 +112,24 @@
 	if s.server == nil {
 		return listener
 	}
-	return tls.NewListener(listener, s.server)
+	return newTLSListener(listener, s.server)
+}
+
+// tlsListener gives access to the socket below TLS, which Server.Shutdown looks at.
+type tlsListener struct {
+	net.Listener
+	plain net.Listener
+}
+
+func newTLSListener(plain net.Listener, config *tls.Config) net.Listener {
+	return tlsListener{Listener: tls.NewListener(plain, config), plain: plain}
+}
+
+// SyscallConn implements syscall.Conn if the plain listener does.
+func (l tlsListener) SyscallConn() (syscall.RawConn, error) {
+	withSyscall, ok := l.plain.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return withSyscall.SyscallConn()
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -61,7 +61,7 @@
 		synctest.Wait()
 		stopped := make(chan struct{})
 		go func() {
-			n.server.Shutdown(t.Context())
+			assert.Check(t, n.server.Shutdown(t.Context()))
 			close(stopped)
 		}()
 		time.Sleep(time.Second)
@@ -82,7 +82,7 @@
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		n.server.Shutdown(ctx)
+		assert.NilError(t, n.server.Shutdown(ctx))
 		assert.Check(t, <-held != nil)
 	})
 }
