--- a/internal/control/driver/watch_reply.go
+++ b/internal/control/driver/watch_reply.go
@@ -12,7 +12,7 @@
 )
 
 // maxReplyRecords limits the records in a reply, which has at most wire.MaxMessageBytes. A
-// record with the longest names has about 600 bytes.
+// record with the longest names has about 420 bytes.
 const maxReplyRecords = 1 << 13
 
 // fillWatchReply fills in what the watcher lacks.
