A first member that was killed before it wrote its folder doesn't keep the group from forming

Cause: the mark of a first start is in the data folder. A replica that is killed before it has written that starts again as one that joins, takes no part in founding, and the others wait for it if it has the lowest ID.

Change: a reply to Hello tells whether the replica joins. The lowest ID among the first members that don't founds the group if they are a majority, and all have answered with empty logs. An entry is committed only in the logs of a majority, so nothing can have been committed then. Replies of earlier builds lack the field and count as before; both builds found a group together in TestBuildsBesideEachOther.

TestReplicaThatLostItsFolderFoundsNoGroup expected that two replicas at their first start found no group beside one without its folder. That group can contradict nothing, so the test was wrong. TestReplicasThatLostTheirFoldersFoundNoGroup replaces it with a majority of lost folders, where no replica may hold a group, and fails if the majority isn't asked for ("b holds a group").

Before: TestGroupIsFoundedAfterAKillBeforeTheFolderExists found no group in 20 s. After: three passes with -race, with the other tests of founding.

--- a/internal/control/driver/bootstrap.go
+++ b/internal/control/driver/bootstrap.go
@@ -12,18 +12,24 @@
 )
 
 // canBootstrap reports whether this replica takes part in founding the group: its log is
-// empty, it is configured as one of the first members, and not as one that joins an existing
-// group. One that has started for the first time and ended before the group was founded may
-// be configured to join now, but the other first members wait for it. It holds the data
-// folder of its first start, unlike one whose disk was lost.
+// empty, and it has held none before.
 func (n *Node) canBootstrap() bool {
-	return n.isFirstMember() && (!n.cfg.Join || n.firstStart) && n.state.LastIndex() == 0
+	return n.mayFound() && n.state.LastIndex() == 0
 }
 
-// bootstrapGroup contacts the other first members until the group exists. The
-// member with the lowest ID founds the group once all of them have replied that
-// their logs are empty. Otherwise a member that lost its disk could found a
-// second group while the others still hold the first one.
+// mayFound reports whether this replica is configured as one of the first members, and not as
+// one that joins an existing group. One that has started for the first time and ended before
+// the group was founded may be configured to join now. It holds the data folder of its first
+// start, unlike one whose disk was lost.
+func (n *Node) mayFound() bool {
+	return n.isFirstMember() && (!n.cfg.Join || n.firstStart)
+}
+
+// bootstrapGroup contacts the other first members until the group exists. The group is
+// founded once all of them have replied that their logs are empty, and a majority that they
+// have held none before, by the one of these with the lowest ID. Nothing can have been
+// committed then, as that takes a log on a majority. Otherwise members that lost their disks
+// could found a second group while others still hold the first one.
 func (n *Node) bootstrapGroup() {
 	defer n.running.Done()
 	ticker := time.NewTicker(2 * n.cfg.Replication.Heartbeat)
@@ -49,7 +55,7 @@
 		return true
 	}
 	members := replica.Membership{Group: newRandomID()}
-	lowestID := true
+	founders, lowestID := 0, true // of the members that don't join
 	for _, peer := range n.firstMembers() {
 		hello, ok := n.callHello(peer)
 		switch {
@@ -61,7 +67,10 @@
 			telemetry.ControlGroupExists.Log(n.logger, zap.String("member", peer.Address))
 			return true
 		}
-		lowestID = lowestID && n.self.ID <= hello.Identity.ID
+		if !hello.Joins {
+			founders++
+			lowestID = lowestID && n.self.ID <= hello.Identity.ID
+		}
 		members.Members = append(members.Members, replica.Member{
 			Identity:   hello.Identity,
 			Address:    peer.Address,
@@ -69,11 +78,12 @@
 			Voter:      true,
 		})
 	}
-	if lowestID {
-		telemetry.ControlGroupBootstrapped.Log(n.logger, zap.String("founding", members.Group))
-		n.post(replica.Bootstrap{Membership: members})
+	if !lowestID || 2*founders <= len(members.Members) {
+		return false
 	}
-	return lowestID
+	telemetry.ControlGroupBootstrapped.Log(n.logger, zap.String("founding", members.Group))
+	n.post(replica.Bootstrap{Membership: members})
+	return true
 }
 
 // callHello asks a first member for its identity. For this replica itself it
--- a/internal/control/driver/peer_service.go
+++ b/internal/control/driver/peer_service.go
@@ -23,6 +23,9 @@
 	Identity replica.Identity
 	// Founded is set if the replica's log is not empty.
 	Founded bool
+	// Joins is set if the replica takes no part in founding the group, as it may have held a
+	// log before. Processes of earlier builds don't tell.
+	Joins bool
 	// DataCentre is the data centre that the replica runs in.
 	DataCentre string
 }
@@ -53,6 +56,7 @@
 	}
 	reply.Identity = p.n.self
 	reply.DataCentre = p.n.cfg.Node.DataCentre
+	reply.Joins = !p.n.mayFound()
 	return p.n.inspect(p.n.stop, func(s *replica.State) {
 		reply.Founded = s.LastIndex() > 0
 	})
