--- a/internal/control/driver/bootstrap.go
+++ b/internal/control/driver/bootstrap.go
@@ -12,7 +12,7 @@
 )
 
 // canBootstrap reports whether this replica takes part in founding the group: its log is
-// empty, and it has held none before.
+// empty, and it has held none before as far as it knows.
 func (n *Node) canBootstrap() bool {
 	return n.mayFound() && n.state.LastIndex() == 0
 }
