--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -58,7 +58,8 @@
 
 // Shutdown stops accepting connections, waits until each request of which any byte has
 // arrived is answered, and closes the connections as they become unused. It returns the
-// error of ctx if that ends first; the connections left are then closed.
+// error of ctx if that ends first; the connections left are then closed. Another error means
+// that connections waiting to be accepted may have been reset.
 func (s *Server) Shutdown(ctx context.Context) error {
 	// Closing the listener would reset the connections that the kernel holds for it, although
 	// their requests may have arrived.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -19,7 +19,7 @@
 
 // AwaitAccepted waits until no connection waits to be accepted from a listener, or ctx ends.
 // The caller goes on accepting meanwhile. A listener that gives no access to its socket is not
-// waited for.
+// waited for. The end of ctx is no error; a listener that is closed is one.
 func AwaitAccepted(ctx context.Context, listener net.Listener) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
