--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -31,7 +31,9 @@
 	network *network
 	// snapshotEntries is small, so that tests take snapshots.
 	snapshotEntries int
-	replication     settings.Replication
+	// segmentBytes is the size at which the log rotates, 0 for the default.
+	segmentBytes int64
+	replication  settings.Replication
 }
 
 func newGroup(t testing.TB, ids ...string) *group {
@@ -64,6 +66,9 @@
 	cfg.Listen.Peers = peer.Address
 	cfg.Storage.Folder = filepath.Join(g.folder, peer.ID)
 	cfg.Storage.SnapshotEntries = g.snapshotEntries
+	if g.segmentBytes > 0 {
+		cfg.Storage.SegmentBytes = g.segmentBytes
+	}
 	cfg.Replication = g.replication
 	cfg.Members = g.members
 	return *cfg
--- a/internal/control/wal/disk_full_test.go
+++ b/internal/control/wal/disk_full_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"syscall"
 	"testing"
 
@@ -85,3 +86,50 @@
 	assert.Assert(t, !found.Torn)
 	assert.Equal(t, found.Entries[len(found.Entries)-1].Index, uint64(9))
 }
+
+// runScriptWithFullDisk runs the script on a disk that is full from a step on. Each time the
+// log waits for room, or an operation fails, the disk gets room again.
+func runScriptWithFullDisk(files *fakeFS) error {
+	log, _, err := Open(Options{
+		FS: files, Folder: testFolder, Group: "g", Replica: "a", SegmentBytes: 600,
+		NewIncarnation: func() string { return "i1" },
+		OnFull:         func() bool { files.freeDisk(); return true },
+	})
+	if err != nil {
+		return err
+	}
+	for _, op := range script() {
+		err := op.run(log)
+		if errors.Is(err, syscall.ENOSPC) {
+			files.freeDisk()
+			err = op.run(log)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", op.name, err)
+		}
+	}
+	return log.Close()
+}
+
+// TestFullDiskNeverFailsTheLog guards against a replica that stops because its disk had no room
+// for a while, whatever it was writing: the log must stay usable and complete.
+//
+// fault: full-disk x repair
+func TestFullDiskNeverFailsTheLog(t *testing.T) {
+	reference := newFakeFS()
+	_, err := runScript(reference)
+	assert.NilError(t, err)
+	opened := newFakeFS()
+	_, _, err = openTestLog(opened)
+	assert.NilError(t, err)
+	ops := script()
+	for step := opened.steps + 1; step <= reference.steps; step++ {
+		files := newFakeFS()
+		files.failAt, files.fault = step, faultDiskFull
+		assert.NilError(t, runScriptWithFullDisk(files), "disk full from step %d on", step)
+		assert.Equal(t, len(files.pathsWithSuffix(tempSuffix)), 0, "step %d left a temporary file", step)
+		_, found, err := openTestLog(files)
+		assert.NilError(t, err, "step %d", step)
+		assert.Equal(t, recoveredState(found), ops[len(ops)-1].want, "step %d", step)
+	}
+}
