--- a/cmd/wigeon-control/app.go
+++ b/cmd/wigeon-control/app.go
@@ -40,7 +40,7 @@
 	var node *driver.Node
 	app := fx.New(
 		fx.Populate(&node),
-		fx.Supply(config),
+		fx.Supply(config, interrupted(ctx.Done())),
 		fx.Provide(newLogger, newSecurity, newNode, newBounds, newOperatorsServer),
 		fx.Invoke(startTracing, func(*driver.Node, *http.Server) {}, serveTargets),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -60,6 +60,9 @@
 	return nil
 }
 
+// interrupted is closed when the process is told to stop.
+type interrupted <-chan struct{}
+
 // waitForShutdown passes reloaded settings to the node until ctx is done or the
 // application requests a shutdown. It reports whether the shutdown is due to a failure.
 func waitForShutdown(ctx context.Context, app *fx.App, reloads settingsReloads, node *driver.Node) bool {
@@ -103,7 +106,7 @@
 
 // newNode returns the replica and registers its start and stop hooks. A fatal error of
 // the replica shuts the application down with cli.ExitFailure.
-func newNode(lc fx.Lifecycle, shutdowner fx.Shutdowner, config *settings.Control, security wire.Security, logger *zap.Logger) (*driver.Node, error) {
+func newNode(lc fx.Lifecycle, shutdowner fx.Shutdowner, stopped interrupted, config *settings.Control, security wire.Security, logger *zap.Logger) (*driver.Node, error) {
 	listener, err := net.Listen("tcp", config.Listen.Peers)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
@@ -118,7 +121,8 @@
 			}
 			return platform.DecodeTable(document)
 		},
-		Fatal: func(error) { _ = shutdowner.Shutdown(fx.ExitCode(cli.ExitFailure)) },
+		Interrupted: stopped,
+		Fatal:       func(error) { _ = shutdowner.Shutdown(fx.ExitCode(cli.ExitFailure)) },
 	})
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -42,11 +42,16 @@
 
 // launch starts a replica. first is false for a replica that joins or restarts.
 func (s *seededGroup) launch(peer settings.Peer, first bool) *Node {
+	return s.launchWith(peer, first, Options{})
+}
+
+func (s *seededGroup) launchWith(peer settings.Peer, first bool, o Options) *Node {
+	o.Dial = s.network.dialer(peer.ID)
 	cfg := s.group.settings(peer)
 	cfg.Members = nil
 	cfg.Join = !first
 	cfg.Discovery.Seeds = s.seeds
-	node, err := New(cfg, zap.NewNop(), Options{Dial: s.network.dialer(peer.ID)})
+	node, err := New(cfg, zap.NewNop(), o)
 	assert.NilError(s.t, err)
 	node.Start()
 	s.nodes[peer.ID] = node
--- a/internal/control/driver/disk_sequence_test.go
+++ b/internal/control/driver/disk_sequence_test.go
@@ -1,14 +1,20 @@
 package driver
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
 	"wigeonbay/internal/control/wal"
 	"wigeonbay/internal/controlrpc"
+	"wigeonbay/internal/settings"
 )
 
 // fullDiskTime is how long each disk of a sequence is full: longer than an election, so that
@@ -181,8 +187,8 @@
 	}
 }
 
-// TestReplacedReplicaJoinsOnFullDisk guards against a replica without its folder that can't join
-// because its disk fills up meanwhile.
+// TestReplacedReplicaJoinsOnFullDisk guards against a replica without its folder that can't start
+// or join because its disk is full.
 //
 // fault: full-disk x repair
 func TestReplacedReplicaJoinsOnFullDisk(t *testing.T) {
@@ -196,6 +202,8 @@
 			leader := s.leader()
 			lost := s.other(leader)
 			s.loseDisk(lost)
+			s.disks[lost].full.Store(true)
+			time.AfterFunc(fullDiskTime, func() { s.disks[lost].full.Store(false) })
 			s.startOn(lost)
 			s.fill(lost)
 			s.mustReplace(leader, lost, s.peer(lost))
@@ -206,3 +214,58 @@
 		})
 	}
 }
+
+// TestGroupWithSparesRecoversFromFullDisks guards against a group that has no quorum left after
+// replicas whose disks were full were replaced by spare ones, whose disks were full then.
+//
+// fault: full-disk x repair
+func TestGroupWithSparesRecoversFromFullDisks(t *testing.T) {
+	t.Parallel()
+	const longerThanLost = 2 * time.Second // settings.Repair.LostAfter is 1.5 s
+	s := newSeededGroup(t, "a", "b", "c")
+	s.snapshotEntries, s.segmentBytes = 4, 200
+	disks := map[string]*faultyFS{}
+	launch := func(peer settings.Peer, first bool) {
+		disks[peer.ID] = &faultyFS{FS: wal.OS()}
+		s.launchWith(peer, first, Options{FS: disks[peer.ID], Fatal: func(err error) { t.Errorf("%s stopped by itself: %v", peer.ID, err) }})
+	}
+	for _, peer := range s.members {
+		launch(peer, true)
+	}
+	s.replaceTable(s.nodes["a"], 1, "first")
+	for _, id := range []string{"d", "e"} {
+		launch(settings.Peer{ID: id, Address: reserveAddress(t), DataCentre: "dc-" + id}, false)
+	}
+	version := uint64(1)
+	for _, id := range []string{"a", "d", "b", "e", "c", "a"} {
+		disks[id].full.Store(true)
+		for end := time.Now().Add(longerThanLost); time.Now().Before(end); {
+			for _, node := range s.nodes {
+				version++
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				_ = node.ReplaceTable(ctx, controlrpc.Document{Version: version, Packed: []byte("further")})
+				cancel()
+			}
+		}
+		disks[id].full.Store(false)
+	}
+	for _, node := range s.nodes {
+		version++
+		s.replaceTable(node, version, "last")
+		assert.Equal(t, s.readTable(node).Version, version)
+	}
+}
+
+// TestStartOnFullDiskCanBeInterrupted guards against a process that can't be stopped while it
+// waits for room to create its data folder.
+//
+// fault: full-disk x restart
+func TestStartOnFullDiskCanBeInterrupted(t *testing.T) {
+	g := newGroup(t, "a")
+	disk := &faultyFS{FS: wal.OS()}
+	disk.full.Store(true)
+	interrupted := make(chan struct{})
+	time.AfterFunc(2*fullDiskRetryInterval, func() { close(interrupted) })
+	_, err := New(g.settings(g.peer("a")), zap.NewNop(), Options{FS: disk, Interrupted: interrupted})
+	assert.ErrorIs(t, err, syscall.ENOSPC)
+}
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -73,6 +73,8 @@
 	peers            *peers
 	incomingSnapshot snapshotAssembly
 
+	// opening is Options.Interrupted until the data folder is open, then nil.
+	opening  <-chan struct{}
 	stop     context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -84,7 +86,7 @@
 func New(cfg settings.Control, logger *zap.Logger, options Options) (*Node, error) {
 	registerMessageTypes()
 	opts := options.withDefaults()
-	n := &Node{cfg: cfg, logger: logger, opts: opts}
+	n := &Node{cfg: cfg, logger: logger, opts: opts, opening: opts.Interrupted}
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	log, recovered, err := wal.Open(wal.Options{
 		FS:             opts.FS,
@@ -99,7 +101,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
-	n.log = log
+	// A replica that has started writes what it must before it stops.
+	n.log, n.opening = log, nil
 	if err := n.build(recovered); err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
@@ -247,12 +250,14 @@
 }
 
 // awaitDiskSpace waits before the next attempt to write to a full disk. It
-// returns false if the node is stopping.
+// returns false if the node is stopping, or interrupted before it has started.
 func (n *Node) awaitDiskSpace() bool {
 	telemetry.ControlDiskFull.Log(n.logger, zap.String("write", "log"))
 	select {
 	case <-time.After(fullDiskRetryInterval):
 		return true
+	case <-n.opening:
+		return false
 	case <-n.stop.Done():
 		return false
 	}
--- a/internal/control/driver/options.go
+++ b/internal/control/driver/options.go
@@ -22,6 +22,9 @@
 	Listener net.Listener
 	// NewIncarnation generates the incarnation of an empty data folder.
 	NewIncarnation func() string
+	// Interrupted ends New if it is closed while the disk has no room for the data folder. It
+	// may be nil.
+	Interrupted <-chan struct{}
 	// Seed seeds the jitter of the election timeout; 0 selects a seed from the
 	// clock.
 	Seed uint64
--- a/internal/control/wal/disk_full_test.go
+++ b/internal/control/wal/disk_full_test.go
@@ -111,19 +111,17 @@
 	return log.Close()
 }
 
-// TestFullDiskNeverFailsTheLog guards against a replica that stops because its disk had no room
-// for a while, whatever it was writing: the log must stay usable and complete.
+// TestFullDiskNeverFailsTheLog guards against a replica that stops, or doesn't start, because its
+// disk had no room for a while, whatever it was writing: the log must stay usable and complete.
 //
 // fault: full-disk x repair
+// fault: full-disk x restart
 func TestFullDiskNeverFailsTheLog(t *testing.T) {
 	reference := newFakeFS()
 	_, err := runScript(reference)
 	assert.NilError(t, err)
-	opened := newFakeFS()
-	_, _, err = openTestLog(opened)
-	assert.NilError(t, err)
 	ops := script()
-	for step := opened.steps + 1; step <= reference.steps; step++ {
+	for step := 1; step <= reference.steps; step++ {
 		files := newFakeFS()
 		files.failAt, files.fault = step, faultDiskFull
 		assert.NilError(t, runScriptWithFullDisk(files), "disk full from step %d on", step)
--- a/internal/control/wal/identity.go
+++ b/internal/control/wal/identity.go
@@ -113,22 +113,31 @@
 func writeFileAtomic(files FS, folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	tempPath := path + tempSuffix
-	file, err := files.Create(tempPath)
+	if err := writeFile(files, tempPath, data); err != nil {
+		return err
+	}
+	if err := files.Rename(tempPath, path); err != nil {
+		return fmt.Errorf("rename %s: %w", tempPath, err)
+	}
+	if err := files.SyncDir(folder); err != nil {
+		return fmt.Errorf("sync %s: %w", folder, err)
+	}
+	return nil
+}
+
+// writeFile writes and syncs a new file. If it fails, it removes the file, whose room other
+// writes may need on a full disk.
+func writeFile(files FS, path string, data []byte) error {
+	file, err := files.Create(path)
 	if err != nil {
-		return fmt.Errorf("create %s: %w", tempPath, err)
+		return fmt.Errorf("create %s: %w", path, err)
 	}
 	_, err = file.Write(data)
 	if err == nil {
 		err = file.Sync()
 	}
 	if err = errors.Join(err, file.Close()); err != nil {
-		return fmt.Errorf("write %s: %w", tempPath, err)
-	}
-	if err := files.Rename(tempPath, path); err != nil {
-		return fmt.Errorf("rename %s: %w", tempPath, err)
-	}
-	if err := files.SyncDir(folder); err != nil {
-		return fmt.Errorf("sync %s: %w", folder, err)
+		return fmt.Errorf("write %s: %w", path, errors.Join(err, files.Remove(path)))
 	}
 	return nil
 }
--- a/internal/control/wal/log.go
+++ b/internal/control/wal/log.go
@@ -29,9 +29,9 @@
 	FirstStart bool
 	// SegmentBytes is the size at which the log rotates to a new segment.
 	SegmentBytes int64
-	// OnFull is called when a write fails because the disk is full. It may wait
-	// before it returns: true retries the write, false makes it fail. If OnFull is
-	// nil, the write fails at once.
+	// OnFull is called when Open or Write fails because the disk is full. It may wait
+	// before it returns: true retries the failed operation, false makes it fail. If
+	// OnFull is nil, it fails at once.
 	OnFull func() bool
 }
 
@@ -121,12 +121,15 @@
 // startSegment starts a new segment; its creation syncs the folder, which makes
 // the repairs durable. If the entries are older than the snapshot, it writes a reset
 // record, since new entries would otherwise leave a gap in the log. If the disk is
-// too full for a new segment, the newest one is reopened.
+// too full for a new segment, the newest one is reopened, if there is one.
 func (l *Log) startSegment() error {
-	err := l.rotate()
-	if errors.Is(err, syscall.ENOSPC) && len(l.closed) > 0 {
-		err = l.reopenNewest()
-	}
+	err := l.awaitingSpace(func() error {
+		err := l.rotate()
+		if errors.Is(err, syscall.ENOSPC) && len(l.closed) > 0 {
+			err = l.reopenNewest()
+		}
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -155,7 +158,22 @@
 		}
 	}
 	want.Incarnation = o.NewIncarnation()
-	return want, true, writeIdentity(l.files, l.folder, want)
+	return want, true, l.saveIdentity(want)
+}
+
+func (l *Log) saveIdentity(identity Identity) error {
+	return l.awaitingSpace(func() error { return writeIdentity(l.files, l.folder, identity) })
+}
+
+// awaitingSpace repeats an operation that fails because the disk is full, as long as onFull
+// allows it. The operation must be repeatable from its beginning.
+func (l *Log) awaitingSpace(operation func() error) error {
+	for {
+		err := operation()
+		if !errors.Is(err, syscall.ENOSPC) || l.onFull == nil || !l.onFull() {
+			return err
+		}
+	}
 }
 
 // upgrade updates the format in the identity of an older folder. It runs before
@@ -165,7 +183,7 @@
 		return nil
 	}
 	found.Format = Format
-	return writeIdentity(l.files, l.folder, *found)
+	return l.saveIdentity(*found)
 }
 
 func hasLogFiles(names []string) bool {
@@ -221,8 +239,11 @@
 	return nil
 }
 
+// installSnapshot saves a snapshot of the leader. Unlike one of the replica's own state machine
+// it can't be left out on a full disk, as the log lacks what it replaces.
 func (l *Log) installSnapshot(snapshot replica.Snapshot) error {
-	if err := saveSnapshot(l.files, l.folder, snapshot); err != nil {
+	err := l.awaitingSpace(func() error { return saveSnapshot(l.files, l.folder, snapshot) })
+	if err != nil {
 		return err
 	}
 	l.newestSnapshot = max(l.newestSnapshot, snapshot.Meta.Index)
--- a/internal/telemetry/events_control.go
+++ b/internal/telemetry/events_control.go
@@ -36,7 +36,7 @@
 
 // Events about the disk.
 var (
-	ControlDiskFull         = Event{2201, zapcore.WarnLevel, "disk full", "A write failed because the disk is full. Writes to the log are retried. Reads and check-ins continue, and other replicas take over. Free space on the disk of the data folder."}
+	ControlDiskFull         = Event{2201, zapcore.WarnLevel, "disk full", "A write failed because the disk is full. Writes to the log are retried, and so are the leader's snapshots and a start without a data folder. Reads and check-ins continue, and other replicas take over. Free space on the disk of the data folder."}
 	ControlSlowDiskTransfer = Event{2202, zapcore.WarnLevel, "leadership transfer because of slow disk", "A disk write has taken longer than the election timeout; the leader asks another replica to take over."}
 )
 
