Opening a connection to a target doesn't time out because the process was paused

What callers saw: after a pause of an entry node (SIGSTOP for a second) a request that had just opened a connection was refused with 503 no_target, its only send "not_sent", "i/o timeout" after 1.01 s, though the target had accepted it; two such failures make a target unreachable.

Cause: the dial's deadline passed while the process stood still, and the runtime handles due timers before it polls the network.

Change: the second for a dial is counted in ten steps of a ticker, which sends one tick after a pause of any length. Requests keep their own deadlines.

--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// dialTimeout bounds the time for opening a connection.
+	// dialTimeout bounds the time for opening a connection, without pauses of the process.
 	dialTimeout = time.Second
 	// pingAfter is the idle time after which a connection is checked.
 	pingAfter = 2 * time.Second
@@ -51,7 +51,7 @@
 
 // DialTCP opens a plain TCP connection with keep-alive probes.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcpKeepAlive}
+	dialer := net.Dialer{KeepAliveConfig: tcpKeepAlive}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -214,7 +214,7 @@
 // connect opens a connection that is already included in connCount, and reduces
 // connCount if that fails.
 func (t *target) connect(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := withRunningTimeout(ctx, dialTimeout)
 	defer cancel()
 	t.mu.Lock()
 	address := t.address
@@ -226,6 +226,9 @@
 		t.connCount--
 		t.notifyLocked()
 		t.mu.Unlock()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, err
 	}
 	return newConn(netConn, time.Since(start), t.replyMemory), nil
