--- a/internal/entry/forwarder/body_test.go
+++ b/internal/entry/forwarder/body_test.go
@@ -29,7 +29,9 @@
 // bodies that the routing table allows. The requests that have no memory are refused at once
 // with a retry time, usual ones are served, and large ones again once there is memory.
 func TestLargeBodiesDoNotExhaustTheMemory(t *testing.T) {
-	const body, held = 8 << 20, 3
+	// An odd size isn't the sum of other buffers, which are of powers of two: the memory taken
+	// tells when all held bodies have their last buffer, and no earlier one besides.
+	const body, held = 8<<20 - 1, 3
 	n := startServingNode(t)
 	t.Cleanup(func() { _ = n.Stop(t.Context()) })
 	for limit, name := range map[int64]string{0: "no limit", 1 << 62: "a great limit"} {
@@ -42,7 +44,7 @@
 				holding = append(holding, sendBody(t, n, body, body-1))
 			}
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if left := n.bodyMemory.Left(); left > body {
+				if left := n.bodyMemory.Left(); left != maxBodyMemory-held*body {
 					return poll.Continue("%d bytes left", left)
 				}
 				return poll.Success()
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -102,6 +102,7 @@
 	draining        atomic.Bool
 	refusing        atomic.Bool
 	created         time.Time
+	margins         stopMargins
 	lastArrival     atomic.Int64 // nanoseconds since created
 	ctx             context.Context
 	stop            context.CancelFunc
@@ -115,6 +116,7 @@
 	n := &Node{
 		cfg:     cfg,
 		created: time.Now(),
+		margins: stopMargins{end: shutdownMargin, lastWrite: lastWriteTime},
 		logger:  cfg.Logger,
 		client:  wire.NewClient(cfg.Dial),
 		state: forward.New(forward.Options{
@@ -205,14 +207,14 @@
 	shutdownTime := n.cfg.Settings.Forward.ShutdownTime
 	refusal := time.AfterFunc(time.Duration(acceptFraction*float64(shutdownTime)), func() { n.refusing.Store(true) })
 	defer refusal.Stop()
-	ctx, cancel := context.WithTimeout(ctx, shutdownTime-shutdownMargin)
+	ctx, cancel := context.WithTimeout(ctx, shutdownTime-n.margins.end)
 	defer cancel()
 	connections, closeConnections := context.WithCancel(context.Background())
 	defer closeConnections()
 	stopEnding := context.AfterFunc(ctx, func() {
 		n.refusing.Store(true)
 		n.step(forward.ShuttingDown{})
-		time.AfterFunc(lastWriteTime, closeConnections)
+		time.AfterFunc(n.margins.lastWrite, closeConnections)
 	})
 	defer stopEnding()
 	n.awaitIdle(ctx)
@@ -259,6 +261,10 @@
 	lastWriteTime  = shutdownMargin / 2
 )
 
+// stopMargins holds shutdownMargin and lastWriteTime. Tests use longer ones, as they can't send
+// within a tenth of a second on a busy machine.
+type stopMargins struct{ end, lastWrite time.Duration }
+
 // InProgress returns the number of unanswered requests.
 func (n *Node) InProgress() int {
 	n.mu.Lock()
--- a/internal/entry/forwarder/shutdown_test.go
+++ b/internal/entry/forwarder/shutdown_test.go
@@ -127,19 +127,21 @@
 // fault: kill x drain
 func TestRequestReadLateInAShutdownIsRefused(t *testing.T) {
 	for _, late := range []struct {
-		name  string
-		delay time.Duration
+		name    string
+		margins stopMargins
+		delay   time.Duration
 		// untilTheEnd is set if the node may still hold the connection, whose request it has
 		// answered, when the shutdown time is over. Stop then reports that.
 		untilTheEnd bool
 	}{
-		{"while others are finished", testShutdownTime / 2, false},
-		{"after all others were answered", testShutdownTime - shutdownMargin + lastWriteTime/3, true},
+		{"while others are finished", stopMargins{shutdownMargin, lastWriteTime}, testShutdownTime * 7 / 10, false},
+		{"after all others were answered", stopMargins{testShutdownTime - time.Second, testShutdownTime}, 2 * time.Second, true},
 	} {
 		t.Run(late.name, func(t *testing.T) {
 			t.Parallel()
 			var reached atomic.Int64
 			n := startCountingNode(t, &reached)
+			n.margins = late.margins
 			began := time.Now()
 			conn := sendBody(t, n, 2, 1)
 			stopped := make(chan error, 1)
