A control process answers at once when a node requests an offered routing table

What operators could see: a change in force up to a second later than needed at nodes whose closer control process doesn't have it, for example because its disk stalls. Such a node learns of the version from another process, and its next poll there, which requests the table, was held for the whole second like one that lacks nothing. Class: a wait whose condition leaves out what is asked for.

TestRequestedTableIsSentAtOnce failed (the poll was held for its 20 s) and passes.

--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -402,6 +402,33 @@
 	}
 }
 
+// TestRequestedTableIsSentAtOnce guards against a change that takes effect seconds late on nodes
+// whose closer control process has a stalled disk: they request the table from another one, which
+// must not hold that poll.
+//
+// fault: stuck-disk x forward
+func TestRequestedTableIsSentAtOnce(t *testing.T) {
+	s := newSeededGroup(t, "a")
+	node := s.launch(s.members[0], true)
+	s.replaceTable(node, 7, "seven")
+	var reply controlrpc.WatchReply
+	args := &controlrpc.WatchArgs{Node: "far", Kind: discovery.WatcherEntry, DataCentre: "dc-b", Aside: true, TableVersion: 3}
+	node.watchLocal(context.Background(), args, 0, &reply)
+	assert.Assert(t, reply.TableVersion == 7 && reply.Table == nil)
+	args.Epoch, args.Revision, args.Offered = reply.Epoch, reply.Revision, reply.TableVersion
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		node.watchLocal(context.Background(), args, time.Minute, &reply)
+	}()
+	select {
+	case <-done:
+		assert.Equal(t, reply.Table.Version, uint64(7))
+	case <-time.After(20 * time.Second):
+		t.Fatal("the poll is held")
+	}
+}
+
 // TestRestartedProcessWaitsForWatchersToReturn guards against a restarted
 // control process that acknowledges a leaving target before the entry nodes
 // that polled it have returned. They would still send requests to the target.
--- a/internal/control/driver/watch.go
+++ b/internal/control/driver/watch.go
@@ -219,8 +219,9 @@
 // at once. A watcher with Aside set gets most records from a closer control
 // process, but a leaving target waits for each watcher's confirmation. A
 // watcher without a routing table can't serve requests, and the closer process
-// may lack the table too. Orders to evacuate reach it from the closer process, or
-// at the latest when the poll ends.
+// may lack the table too, as it does for a watcher that requests an offered one.
+// Orders to evacuate reach it from the closer process, or at the latest when the
+// poll ends.
 func (n *Node) hasChanges(args *controlrpc.WatchArgs, since uint64) bool {
 	n.directory.mu.Lock()
 	revision := n.directory.targets.Revision()
@@ -230,7 +231,7 @@
 	n.directory.mu.Unlock()
 	return revision > since || args.Epoch != n.directory.epoch || n.wantsTable(args) || n.wantsEvacuations(args) ||
 		followsEvacuations(args) && !args.Aside && n.newestEvacuations().Version > args.EvacuationsVersion ||
-		n.newestTable().Version > args.TableVersion && (!args.Aside || args.TableVersion == 0)
+		n.newestTable().Version > args.TableVersion && (!args.Aside || args.TableVersion == 0 || args.Offered > 0)
 }
 
 // recordTable keeps a newer routing table that a watcher sent. The table is
