A service that is named later takes no searcher that goes on answering

Also, a searcher runs requests of another service (ROUTE).

Cause: another writer's check-in that names a service which no table has is kept, and outranks no one only as long as no table names that service. Once one does, the later incarnation counts, and what the searcher itself has said and answered since doesn't: renewals aren't passed on, and nobody looked at what was found at the address meanwhile. Ruled out on the way: builds beside each other, nodes without a way to targets, rarely used services, tables that differ.

Change: control processes reinstate a target that goes on announcing itself after a later incarnation was announced in another service, by two announcements a second apart, as they do after a departure. Entry nodes take a registration that claims a target's address, or its ID elsewhere, for refuted once the target has answered a request sent after it came; and one that takes an address gets a health check at once, so that a rarely used service isn't left to find out.

--- a/internal/api/target.go
+++ b/internal/api/target.go
@@ -71,7 +71,8 @@
 	// remain slow; 0 if unknown.
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
 	// Confirmed is set in a departure that named the incarnation. Reinstated counts how
-	// often another departure of this incarnation was withdrawn, since the target went on.
+	// often it was found that this incarnation goes on, after another departure of it or the
+	// announcement of a later one in another service.
 	// Both are set by control processes only.
 	Confirmed  bool   `json:"confirmed,omitempty"`
 	Reinstated uint32 `json:"reinstated,omitempty"`
--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -50,25 +50,64 @@
 }
 
 // Hear applies an announcement that a target itself has made to this process. It differs
-// from Merge in that it withdraws a departure that isn't confirmed if the target goes on.
+// from Merge in that it withdraws a departure that isn't confirmed if the target goes on, and
+// reinstates a target that goes on after another writer has announced a later incarnation of it
+// in another service.
 func (t *Targets) Hear(now time.Time, a api.Announcement) []api.Announcement {
 	known := t.record(a.Target, a.Service)
-	if known == nil || known.announcement.Incarnation != a.Incarnation {
+	if known == nil {
+		// What was reinstated before doesn't outrank it.
+		a.Reinstated = t.reinstated(a.Target)
+		return t.Merge(a)
+	}
+	if known.announcement.Incarnation != a.Incarnation {
 		return t.Merge(a)
 	}
 	a.Reinstated = known.announcement.Reinstated
-	if known.goesOn(now, a) {
+	switch {
+	case known.goesOn(now, a):
 		a.Reinstated++
+	case known.announcement.State.AcceptsWork() && t.hasRival(known) && known.continues(now, a):
+		a.Reinstated = t.reinstated(a.Target) + 1
 	}
 	return t.Merge(a)
 }
 
+// reinstated returns the greatest number of reinstatements in a target's records.
+func (t *Targets) reinstated(id api.TargetID) (most uint32) {
+	for _, r := range t.records[id] {
+		most = max(most, r.announcement.Reinstated)
+	}
+	return most
+}
+
+// hasRival reports whether a record of the same target in another service claims that a later
+// incarnation runs. A target runs once at a time, so one of them is wrong.
+func (t *Targets) hasRival(r *record) bool {
+	own := r.announcement
+	for _, other := range t.records[own.Target] {
+		a := other.announcement
+		if other != r && a.Service != "" && a.Incarnation > own.Incarnation && a.Reinstated >= own.Reinstated {
+			return true
+		}
+	}
+	return false
+}
+
 // goesOn records an announcement of a departed target and reports whether it shows that the
 // target goes on.
 func (r *record) goesOn(now time.Time, a api.Announcement) bool {
 	departed := r.announcement
-	if departed.State != api.TargetGone || departed.Confirmed || !a.State.AcceptsWork() ||
-		a.Sequence <= departed.Sequence || a.Sequence-departed.Sequence <= sequencesInFlight {
+	if departed.State != api.TargetGone || departed.Confirmed || a.Sequence-departed.Sequence <= sequencesInFlight {
+		return false
+	}
+	return r.continues(now, a)
+}
+
+// continues records an announcement that a target can only have made after the record's last
+// change, and reports whether it shows, with an earlier one, that the target goes on.
+func (r *record) continues(now time.Time, a api.Announcement) bool {
+	if !a.State.AcceptsWork() || a.Sequence <= r.announcement.Sequence {
 		return false
 	}
 	first := r.continued
--- a/internal/discovery/offer.go
+++ b/internal/discovery/offer.go
@@ -85,6 +85,9 @@
 	}
 	text := append([]byte(a.Target), 0)
 	text = strconv.AppendUint(text, a.Incarnation, 10)
+	if a.Reinstated > 0 {
+		text = strconv.AppendUint(append(text, 0), uint64(a.Reinstated), 10)
+	}
 	return xxhash.Sum64(strconv.AppendUint(append(text, 0), uint64(factsChecksum(a)), 10))
 }
 
--- a/internal/discovery/targets.go
+++ b/internal/discovery/targets.go
@@ -181,7 +181,10 @@
 		t.checksum ^= recordChecksum(r.announcement)
 	}
 	t.revision++
-	r.announcement, r.revision, r.continued = a, t.revision, continuation{}
+	r.announcement, r.revision = a, t.revision
+	for _, other := range t.records[a.Target] {
+		other.continued = continuation{}
+	}
 	t.checksum ^= recordChecksum(a)
 	if !a.State.AcceptsWork() {
 		t.drainRevision = t.revision
--- a/internal/entry/forward/registration.go
+++ b/internal/entry/forward/registration.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"wigeonbay/internal/api"
 )
@@ -21,10 +22,16 @@
 	target *target
 	// past holds what the target that was last in use for it demanded, nil for nothing.
 	past *pastDemands
-	// refuted is set while another target has answered last at the address.
+	// since is when its incarnation was first announced here with its address.
+	since time.Time
+	// refuted is set while another target has answered last at the address, or the target
+	// itself at another one.
 	refuted bool
 	// displaced is set while another registration outranks this one.
 	displaced bool
+	// checked is set once a health check was sent because the target is used in the place of
+	// another one.
+	checked bool
 }
 
 // registrations holds all registrations, those of gone targets included: a target that has
@@ -77,7 +84,7 @@
 		rs.byAddress[a.Address] = append(rs.byAddress[a.Address], r)
 	}
 	if r.announcement.Incarnation != a.Incarnation || r.announcement.Address != a.Address {
-		r.refuted = false
+		r.refuted, r.checked, r.since = false, false, time.Time{}
 	}
 	r.announcement = a
 	return r
@@ -101,6 +108,9 @@
 		before = s.registrations.sharing(known)
 	}
 	r := s.registrations.set(a)
+	if r.since.IsZero() {
+		r.since = s.now
+	}
 	if a.State == api.TargetGone && r.target != nil {
 		s.removeTarget(r.target)
 	}
@@ -138,6 +148,23 @@
 		}
 		s.updateTarget(r)
 	}
+	for _, r := range changed {
+		s.checkAddress(r)
+	}
+}
+
+// checkAddress sends a health check to the address of a target that is used in the place of
+// another one. Its service may get too few requests for these to find out which target is there.
+func (s *State) checkAddress(displaced *registration) {
+	by := s.outranking(displaced)
+	if displaced.announcement.State == api.TargetGone || !s.isNamed(displaced) || by == nil || by.target == nil {
+		return
+	}
+	if by.announcement.Target == displaced.announcement.Target || by.checked || by.target.probing || !by.target.acceptsWork() || !by.target.pool.named {
+		return
+	}
+	by.checked = true
+	s.probe(by.target)
 }
 
 // settleAll settles the registrations that share their ID or address with others, after a
@@ -174,6 +201,8 @@
 // another service.
 func (s *State) outranksAtTarget(a, b *registration) bool {
 	switch aNamed, bNamed := s.isNamed(a), s.isNamed(b); {
+	case a.announcement.Reinstated != b.announcement.Reinstated:
+		return a.announcement.Reinstated > b.announcement.Reinstated
 	case aNamed != bNamed:
 		return aNamed
 	case a.refuted != b.refuted:
@@ -218,3 +247,27 @@
 	r.refuted = refuted
 	s.settle(s.registrations.sharing(r))
 }
+
+// recordAnswer notes that a target has answered a request that was sent to it at a time. Later
+// registrations that were known by then and claim its address, or its ID at another address,
+// are refuted.
+func (s *State) recordAnswer(t *target, sent time.Time) {
+	r := t.registration
+	if r == nil || r.target != t || len(s.registrations.byTarget[t.id()]) == 1 && len(s.registrations.byAddress[r.announcement.Address]) == 1 {
+		return
+	}
+	refuted := false
+	for _, other := range s.registrations.sharing(r) {
+		sameTarget, sameAddress := other.announcement.Target == t.id(), other.announcement.Address == r.announcement.Address
+		if other == r || sameTarget && sameAddress || other.refuted || !other.isLater(r) || !other.since.Before(sent) {
+			continue
+		}
+		other.refuted, refuted = true, true
+		if other.target != nil {
+			s.holdUntilHealthy(other.target)
+		}
+	}
+	if refuted {
+		s.settle(s.registrations.sharing(r))
+	}
+}
--- a/internal/entry/forward/registration_test.go
+++ b/internal/entry/forward/registration_test.go
@@ -168,6 +168,81 @@
 	})
 }
 
+// TestTableThatNamesAServiceLaterTakesNoTargetThatAnswers guards against targets that are used no
+// more once a table names a service that another writer has announced with their address or ID.
+//
+// fault: other-writer x forward
+func TestTableThatNamesAServiceLaterTakesNoTargetThatAnswers(t *testing.T) {
+	for name, stray := range map[string]api.Announcement{
+		"an ID of its own": registrationOf("agent", "later", 9, sharedAddress),
+		"its ID elsewhere": registrationOf("own", "later", 9, "10.0.0.2:80"),
+	} {
+		for _, outcome := range []Outcome{OutcomeSuccess, OutcomeFailure, OutcomeNotRun} {
+			t.Run(name+", "+outcome.String(), func(t *testing.T) {
+				h := newSharedHarness(t)
+				h.apply(TargetChanged{Announcement: stray})
+				h.advance(time.Second)
+				status := map[Outcome]int{OutcomeSuccess: http.StatusOK, OutcomeFailure: http.StatusNotFound, OutcomeNotRun: http.StatusServiceUnavailable}[outcome]
+				h.endAttempt(h.onlySend(h.arrive("first")).Attempt, outcome, status)
+				effects := h.apply(TableInstalled{Table: newTable(2, plainRoute("first", "first", true), plainRoute("later", "later", true))})
+				assert.Equal(t, len(find[Forget](effects)), 0)
+				assert.Equal(t, h.sendsTo("first"), api.TargetID("own"))
+				assert.Equal(t, h.sendsTo("later"), api.TargetID(""), "the address is known to be another target's")
+			})
+		}
+	}
+	t.Run("one whose answer is older", func(t *testing.T) {
+		h := newSharedHarness(t)
+		send := h.onlySend(h.arrive("first"))
+		h.advance(time.Second)
+		h.apply(TargetChanged{Announcement: registrationOf("new", "later", 9, sharedAddress)})
+		h.endAttempt(send.Attempt, OutcomeSuccess, http.StatusOK)
+		h.apply(TableInstalled{Table: newTable(2, plainRoute("first", "first", true), plainRoute("later", "later", true))})
+		assert.Equal(t, h.sendsTo("later"), api.TargetID("new"))
+	})
+}
+
+// TestAddressOfADisplacedTargetIsChecked guards against a target that is out of use for as long as
+// nobody sends requests to the service with which another writer has taken its address.
+//
+// fault: other-writer x forward
+func TestAddressOfADisplacedTargetIsChecked(t *testing.T) {
+	h := newSharedHarness(t)
+	effects := h.apply(TargetChanged{Announcement: registrationOf("agent", "second", 9, sharedAddress)})
+	probes := find[Probe](effects)
+	assert.Equal(t, len(probes), 1)
+	assert.Equal(t, probes[0].Target, api.TargetID("agent"))
+	h.apply(ProbeEnded{Target: "agent", Incarnation: 9, Answered: true, AnsweredBy: "own"})
+	assert.Equal(t, h.sendsTo("first"), api.TargetID("own"))
+	assert.Equal(t, len(find[Probe](h.apply(TableInstalled{Table: newTable(2, plainRoute("first", "first", true), plainRoute("second", "second", true))}))), 0)
+
+	h = newSharedHarness(t)
+	effects = h.apply(TargetChanged{Announcement: registrationOf("agent", "unnamed", 9, sharedAddress)})
+	assert.Equal(t, len(find[Probe](effects)), 0, "its service has no health path yet")
+	effects = h.apply(TargetChanged{Announcement: registrationOf("own", "second", 9, sharedAddress)})
+	assert.Equal(t, len(find[Probe](effects)), 0, "both have the same ID")
+}
+
+// TestReinstatedServiceOfATargetCounts has control processes find out that a target goes on in its
+// service, after a later incarnation of it was announced in another one.
+//
+// fault: other-writer x forward
+func TestReinstatedServiceOfATargetCounts(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		h := newSharedHarness(t)
+		service := map[bool]string{true: "second", false: "later"}[named]
+		h.apply(TargetChanged{Announcement: registrationOf("own", service, 9, sharedAddress)})
+		reinstated := registrationOf("own", "first", 5, sharedAddress)
+		reinstated.Sequence, reinstated.Reinstated = 3, 1
+		h.apply(TargetChanged{Announcement: reinstated})
+		h.apply(TableInstalled{Table: newTable(2, plainRoute("first", "first", true), plainRoute("second", "second", true), plainRoute("later", "later", true))})
+		assert.Equal(t, h.sendsTo("first"), api.TargetID("own"))
+		assert.Equal(t, h.sendsTo(service), api.TargetID(""))
+		h.apply(TargetChanged{Announcement: registrationOf("own", "first", 10, sharedAddress)})
+		assert.Equal(t, h.sendsTo("first"), api.TargetID("own"), "its next start")
+	}
+}
+
 // TestRemovedTargetIsNotCountedAsUnreachable ends attempts that were in flight when their
 // target was displaced. Guards against a node that takes itself for cut off from most targets,
 // because it counts some that it doesn't use any more.
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -52,6 +52,7 @@
 	work := max(0, took-s.roundTrip(t)-ev.Dialed)
 	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure || ev.Outcome == OutcomeNotRun {
 		s.setRefuted(t, false)
+		s.recordAnswer(t, a.sent)
 	}
 	switch ev.Outcome {
 	case OutcomeSuccess:
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -108,6 +108,9 @@
 		t.registration, r.target = r, t
 		s.targets[a.Target] = t
 		s.poolNamed(a.Service).add(t)
+		if r.refuted {
+			s.holdUntilHealthy(t)
+		}
 	}
 	t.announcement = a
 	if s.setEvacuated(t) {
@@ -285,7 +288,7 @@
 	}
 	for _, t := range s.targets {
 		due := t.unreachable && !s.now.Before(t.nextProbe) && !s.now.Before(t.retryAt) || t.needsCrashProbe(s.now) || t.needsWarmupProbe(s.now)
-		if t.probing || !t.acceptsWork() || !due {
+		if t.probing || !t.acceptsWork() || !due || !t.pool.named {
 			continue
 		}
 		s.probe(t)
@@ -361,6 +364,18 @@
 	if t.failures < failuresToUnreachable || t.unreachable {
 		return
 	}
+	s.markUnreachable(t)
+}
+
+// holdUntilHealthy keeps requests from a target until a health check has found it at its address.
+func (s *State) holdUntilHealthy(t *target) {
+	if !t.unreachable {
+		t.failures = failuresToUnreachable
+		s.markUnreachable(t)
+	}
+}
+
+func (s *State) markUnreachable(t *target) {
 	t.unreachable = true
 	s.markUnverified(t)
 	s.countUnreachableOf(t, 1)
