--- a/internal/testbin/builds.go
+++ b/internal/testbin/builds.go
@@ -11,7 +11,7 @@
 type Builds struct {
 	programs []string
 
-	present, previous once
+	present, previous, beforeEvacuation once
 }
 
 // once is the result of a build.
@@ -29,10 +29,22 @@
 func (b *Builds) Present() (string, error) { return b.present.make(Build, b.programs) }
 
 // Previous returns the folder of the programs as of PreviousCommit.
-func (b *Builds) Previous() (string, error) { return b.previous.make(BuildPrevious, b.programs) }
+func (b *Builds) Previous() (string, error) { return b.previous.make(of(PreviousCommit), b.programs) }
+
+// BeforeEvacuation returns the folder of the programs as of CommitBeforeEvacuation.
+func (b *Builds) BeforeEvacuation() (string, error) {
+	return b.beforeEvacuation.make(of(CommitBeforeEvacuation), b.programs)
+}
+
+// of returns the function that builds the commands as of a commit.
+func of(commit string) func(...string) (string, error) {
+	return func(programs ...string) (string, error) { return BuildCommit(commit, programs...) }
+}
 
 // Remove removes the folders.
-func (b *Builds) Remove() error { return errors.Join(b.present.remove(), b.previous.remove()) }
+func (b *Builds) Remove() error {
+	return errors.Join(b.present.remove(), b.previous.remove(), b.beforeEvacuation.remove())
+}
 
 func (o *once) make(build func(...string) (string, error), programs []string) (string, error) {
 	o.Lock()
--- a/internal/testbin/testbin.go
+++ b/internal/testbin/testbin.go
@@ -10,9 +10,13 @@
 	"os/exec"
 )
 
-// PreviousCommit is the last landing before the present work. Tests of upgrades run programs
-// of both builds beside each other.
-const PreviousCommit = "8abf1eff4a47d5fa07601b31094f5b6c4052a4ab"
+const (
+	// PreviousCommit is the last landing before the present work. Tests of upgrades run programs
+	// of both builds beside each other.
+	PreviousCommit = "59068ae677589d4e6fbf20caece723f2963bb52d"
+	// CommitBeforeEvacuation is the last landing whose programs know no orders to evacuate.
+	CommitBeforeEvacuation = "8abf1eff4a47d5fa07601b31094f5b6c4052a4ab"
+)
 
 // Build builds the named commands of cmd/ into a new directory and returns its path.
 // The caller must remove the directory.
@@ -41,16 +45,16 @@
 	return nil
 }
 
-// BuildPrevious is like Build for the commands as of PreviousCommit. It needs the history of
-// the repository.
-func BuildPrevious(programs ...string) (string, error) {
+// BuildCommit is like Build for the commands as of a commit. It needs the history of the
+// repository.
+func BuildCommit(commit string, programs ...string) (string, error) {
 	source, err := os.MkdirTemp("", "wigeonbay-previous")
 	if err != nil {
 		return "", fmt.Errorf("create a directory for sources: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(source) }()
-	if err := extract(PreviousCommit, source); err != nil {
-		return "", fmt.Errorf("sources of %.7s: %w", PreviousCommit, err)
+	if err := extract(commit, source); err != nil {
+		return "", fmt.Errorf("sources of %.7s: %w", commit, err)
 	}
 	dir, err := os.MkdirTemp("", "wigeonbay")
 	if err != nil {
