What refutes a registration is a run request, and it settles all that the registration concerns

A searcher that is full may refuse a request before it looks whom it is for, so such a refusal doesn't show who is at the address. A registration with one target's ID and another one's address displaces both, and both are used again once one of them has answered. A start after a reinstatement counts as much as it also where its service had a record of the ID before; it would have been outranked for good by the incarnation that ended.

--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -55,14 +55,11 @@
 // in another service.
 func (t *Targets) Hear(now time.Time, a api.Announcement) []api.Announcement {
 	known := t.record(a.Target, a.Service)
-	if known == nil {
-		// What was reinstated before doesn't outrank it.
+	if known == nil || known.announcement.Incarnation != a.Incarnation {
+		// An earlier incarnation that was reinstated doesn't outrank a start that follows.
 		a.Reinstated = t.reinstated(a.Target)
 		return t.Merge(a)
 	}
-	if known.announcement.Incarnation != a.Incarnation {
-		return t.Merge(a)
-	}
 	a.Reinstated = known.announcement.Reinstated
 	switch {
 	case known.goesOn(now, a):
--- a/internal/discovery/rivals_test.go
+++ b/internal/discovery/rivals_test.go
@@ -45,11 +45,12 @@
 	assert.Equal(t, len(merge(watcher, changed...)), 1)
 	assert.Equal(t, watcher.Checksum(), targets.Checksum())
 
-	// What comes later counts as much, until the target goes on again.
+	// A start that follows counts as much, until the target goes on after it.
 	assert.Equal(t, len(targets.Hear(time.Unix(1007, 0), rivalOf(9, 2))), 0, "the same word again changes nothing")
 	third := announcement("a", 12, 1, api.TargetReady, departedAddress)
 	third.Service = "third"
 	assert.Equal(t, targets.Hear(time.Unix(1008, 0), third)[0].Reinstated, uint32(1))
+	assert.Equal(t, targets.Hear(time.Unix(1009, 0), rivalOf(13, 1))[0].Reinstated, uint32(1), "a start in the other service")
 }
 
 // TestNoProofThatATargetGoesOn checks what must not outrank a later incarnation in another
--- a/internal/entry/forward/registration.go
+++ b/internal/entry/forward/registration.go
@@ -248,7 +248,8 @@
 	s.settle(s.registrations.sharing(r))
 }
 
-// recordAnswer notes that a target has answered a request that was sent to it at a time. Later
+// recordAnswer notes that a target has run a request that was sent to it at a time: one that is full
+// may refuse a request before it looks whom it is for, and so isn't known to be the target. Later
 // registrations that were known by then and claim its address, or its ID at another address,
 // are refuted.
 func (s *State) recordAnswer(t *target, sent time.Time) {
@@ -256,18 +257,17 @@
 	if r == nil || r.target != t || len(s.registrations.byTarget[t.id()]) == 1 && len(s.registrations.byAddress[r.announcement.Address]) == 1 {
 		return
 	}
-	refuted := false
+	var changed []*registration
 	for _, other := range s.registrations.sharing(r) {
 		sameTarget, sameAddress := other.announcement.Target == t.id(), other.announcement.Address == r.announcement.Address
 		if other == r || sameTarget && sameAddress || other.refuted || !other.isLater(r) || !other.since.Before(sent) {
 			continue
 		}
-		other.refuted, refuted = true, true
+		other.refuted = true
 		if other.target != nil {
 			s.holdUntilHealthy(other.target)
 		}
+		changed = append(changed, s.registrations.sharing(other)...)
 	}
-	if refuted {
-		s.settle(s.registrations.sharing(r))
-	}
+	s.settle(changed)
 }
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -52,6 +52,8 @@
 	work := max(0, took-s.roundTrip(t)-ev.Dialed)
 	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure || ev.Outcome == OutcomeNotRun {
 		s.setRefuted(t, false)
+	}
+	if ev.Outcome == OutcomeSuccess || ev.Outcome == OutcomeFailure {
 		s.recordAnswer(t, a.sent)
 	}
 	switch ev.Outcome {
