--- a/internal/control/driver/discover_test.go
+++ b/internal/control/driver/discover_test.go
@@ -402,9 +402,7 @@
 	}
 }
 
-// TestRequestedTableIsSentAtOnce guards against a change that takes effect seconds late on nodes
-// whose closer control process has a stalled disk: they request the table from another one, which
-// must not hold that poll.
+// TestRequestedTableIsSentAtOnce guards against a late change at nodes whose closer control process has a stalled disk.
 //
 // fault: stuck-disk x forward
 func TestRequestedTableIsSentAtOnce(t *testing.T) {
--- a/internal/control/driver/disk_sequence_test.go
+++ b/internal/control/driver/disk_sequence_test.go
@@ -124,8 +124,7 @@
 
 var diskOrders = [][3]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {2, 0, 1}, {1, 2, 0}, {2, 1, 0}}
 
-// TestGroupRecoversFromDisksFullInTurn guards against tickets that stay refused or unanswered
-// after each disk was full for a while, whatever was being written when it filled up.
+// TestGroupRecoversFromDisksFullInTurn guards against tickets that stay refused after the last disk has room.
 //
 // fault: full-disk x ticket
 func TestGroupRecoversFromDisksFullInTurn(t *testing.T) {
@@ -143,8 +142,7 @@
 	}
 }
 
-// TestLaggingReplicaInstallsSnapshotOnFullDisk guards against a replica that stops because its
-// disk is full when the leader sends it a snapshot.
+// TestLaggingReplicaInstallsSnapshotOnFullDisk guards against a replica that stops when it gets a snapshot.
 //
 // fault: full-disk x repair
 func TestLaggingReplicaInstallsSnapshotOnFullDisk(t *testing.T) {
@@ -166,8 +164,7 @@
 	}
 }
 
-// TestDiskFillsDuringElection guards against an election that never ends because the votes of a
-// replica with a full disk are written late.
+// TestDiskFillsDuringElection guards against an election that never ends because votes are written late.
 //
 // fault: full-disk x restart
 func TestDiskFillsDuringElection(t *testing.T) {
@@ -187,8 +184,7 @@
 	}
 }
 
-// TestReplacedReplicaJoinsOnFullDisk guards against a replica without its folder that can't start
-// or join because its disk is full.
+// TestReplacedReplicaJoinsOnFullDisk guards against a replica without its folder that can't start or join.
 //
 // fault: full-disk x repair
 func TestReplacedReplicaJoinsOnFullDisk(t *testing.T) {
@@ -215,8 +211,7 @@
 	}
 }
 
-// TestGroupWithSparesRecoversFromFullDisks guards against a group that has no quorum left after
-// replicas whose disks were full were replaced by spare ones, whose disks were full then.
+// TestGroupWithSparesRecoversFromFullDisks guards against a quorum lost by replacing replicas with full disks.
 //
 // fault: full-disk x repair
 func TestGroupWithSparesRecoversFromFullDisks(t *testing.T) {
@@ -256,8 +251,7 @@
 	}
 }
 
-// TestStartOnFullDiskCanBeInterrupted guards against a process that can't be stopped while it
-// waits for room to create its data folder.
+// TestStartOnFullDiskCanBeInterrupted guards against a process that can't be stopped while it waits for room.
 //
 // fault: full-disk x restart
 func TestStartOnFullDiskCanBeInterrupted(t *testing.T) {
--- a/internal/control/driver/power_loss_test.go
+++ b/internal/control/driver/power_loss_test.go
@@ -111,8 +111,7 @@
 	return nil
 }
 
-// TestAcknowledgedTableOutlastsPowerLossAndALostDisk guards against the loss of an acknowledged
-// table when a disk is lost and all other machines, spare ones too, lose power at that moment.
+// TestAcknowledgedTableOutlastsPowerLossAndALostDisk has all other machines, spare ones too, lose power at that moment.
 //
 // fault: two-at-once x restart
 // fault: lost-disk x restart
--- a/internal/control/wal/disk_full_test.go
+++ b/internal/control/wal/disk_full_test.go
@@ -111,8 +111,7 @@
 	return log.Close()
 }
 
-// TestFullDiskNeverFailsTheLog guards against a replica that stops, or doesn't start, because its
-// disk had no room for a while, whatever it was writing: the log must stay usable and complete.
+// TestFullDiskNeverFailsTheLog guards against a replica that stops, or doesn't start, whatever it was writing.
 //
 // fault: full-disk x repair
 // fault: full-disk x restart
--- a/internal/discovery/rivals_test.go
+++ b/internal/discovery/rivals_test.go
@@ -29,8 +29,7 @@
 	return targets.record("a", announcement("a", 5, 1, api.TargetReady, departedAddress).Service).announcement
 }
 
-// TestTargetThatGoesOnIsReinstated guards against a target that is out of use for good, because
-// another writer has announced a later incarnation of it in another service.
+// TestTargetThatGoesOnIsReinstated guards against a target that another writer's announcement takes out of use.
 //
 // fault: other-writer x announce
 func TestTargetThatGoesOnIsReinstated(t *testing.T) {
@@ -53,8 +52,7 @@
 	assert.Equal(t, targets.Hear(time.Unix(1009, 0), rivalOf(13, 1))[0].Reinstated, uint32(1), "a start in the other service")
 }
 
-// TestNoProofThatATargetGoesOn checks what must not outrank a later incarnation in another
-// service.
+// TestNoProofThatATargetGoesOn checks what must not outrank a later incarnation in another service.
 func TestNoProofThatATargetGoesOn(t *testing.T) {
 	ready := func(sequence uint64) api.Announcement {
 		return announcement("a", 5, sequence, api.TargetReady, departedAddress)
--- a/internal/entry/forward/registration.go
+++ b/internal/entry/forward/registration.go
@@ -248,10 +248,9 @@
 	s.settle(s.registrations.sharing(r))
 }
 
-// recordAnswer notes that a target has run a request that was sent to it at a time: one that is full
-// may refuse a request before it looks whom it is for, and so isn't known to be the target. Later
-// registrations that were known by then and claim its address, or its ID at another address,
-// are refuted.
+// recordAnswer refutes the later registrations that claim the address of a target, or its ID at
+// another address, and were known when a request was sent that the target has run. A refusal shows
+// nothing: a full target may refuse a request before it looks whom it is for.
 func (s *State) recordAnswer(t *target, sent time.Time) {
 	r := t.registration
 	if r == nil || r.target != t || len(s.registrations.byTarget[t.id()]) == 1 && len(s.registrations.byAddress[r.announcement.Address]) == 1 {
--- a/internal/entry/forward/registration_test.go
+++ b/internal/entry/forward/registration_test.go
@@ -168,8 +168,7 @@
 	})
 }
 
-// TestTableThatNamesAServiceLaterTakesNoTargetThatAnswers guards against targets that are used no
-// more once a table names a service that another writer has announced with their address or ID.
+// TestTableThatNamesAServiceLaterTakesNoTargetThatAnswers has another writer announce that service before.
 //
 // fault: other-writer x forward
 func TestTableThatNamesAServiceLaterTakesNoTargetThatAnswers(t *testing.T) {
@@ -221,8 +220,7 @@
 	})
 }
 
-// TestAddressOfADisplacedTargetIsChecked guards against a target that is out of use for as long as
-// nobody sends requests to the service with which another writer has taken its address.
+// TestAddressOfADisplacedTargetIsChecked guards against a target out of use until its rival's service gets requests.
 //
 // fault: other-writer x forward
 func TestAddressOfADisplacedTargetIsChecked(t *testing.T) {
@@ -242,8 +240,7 @@
 	assert.Equal(t, len(find[Probe](effects)), 0, "both have the same ID")
 }
 
-// TestReinstatedServiceOfATargetCounts has control processes find out that a target goes on in its
-// service, after a later incarnation of it was announced in another one.
+// TestReinstatedServiceOfATargetCounts has control processes find that a target goes on in its own service.
 //
 // fault: other-writer x forward
 func TestReinstatedServiceOfATargetCounts(t *testing.T) {
--- a/internal/entry/pool/runningtime_test.go
+++ b/internal/entry/pool/runningtime_test.go
@@ -23,9 +23,7 @@
 	})
 }
 
-// TestPauseDoesNotUseUpTheDialTime guards against a node that has been paused and takes targets
-// for unreachable whose connections were opened meanwhile. Ticks are all that a process notices
-// of time; after a pause of any length there is one.
+// TestPauseDoesNotUseUpTheDialTime sends one tick for a pause of any length, as a ticker does.
 func TestPauseDoesNotUseUpTheDialTime(t *testing.T) {
 	ticks := make(chan time.Time)
 	expired := make(chan bool)
@@ -44,8 +42,7 @@
 	assert.Assert(t, <-expired)
 }
 
-// TestDialGivesUp guards against a target that drops what it is sent and holds requests for
-// longer than the dial time.
+// TestDialGivesUp guards against a target that drops what it is sent and holds requests for long.
 func TestDialGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
