--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -287,8 +287,9 @@
 		return
 	}
 	for _, t := range s.targets {
-		due := t.unreachable && !s.now.Before(t.nextProbe) && !s.now.Before(t.retryAt) || t.needsCrashProbe(s.now) || t.needsWarmupProbe(s.now)
-		if t.probing || !t.acceptsWork() || !due || !t.pool.named {
+		// A service that no table names has no health path.
+		due := t.pool.named && (t.unreachable && !s.now.Before(t.nextProbe) && !s.now.Before(t.retryAt) || t.needsCrashProbe(s.now) || t.needsWarmupProbe(s.now))
+		if t.probing || !t.acceptsWork() || !due {
 			continue
 		}
 		s.probe(t)
