--- a/internal/testbin/builds.go
+++ b/internal/testbin/builds.go
@@ -31,7 +31,7 @@
 // Previous returns the folder of the programs as of PreviousCommit.
 func (b *Builds) Previous() (string, error) { return b.previous.make(of(PreviousCommit), b.programs) }
 
-// BeforeEvacuation returns the folder of the programs as of CommitBeforeEvacuation.
+// BeforeEvacuation returns the folder of the programs that know no orders to evacuate.
 func (b *Builds) BeforeEvacuation() (string, error) {
 	return b.beforeEvacuation.make(of(CommitBeforeEvacuation), b.programs)
 }
