A control process that stops starts no more sends after it has waited for them

Callers would at worst see a process that panics while it stops.

Change: the goroutines of the node end first, then its sends.

--- a/internal/control/driver/driver_test.go
+++ b/internal/control/driver/driver_test.go
@@ -116,10 +116,10 @@
 	delete(g.nodes, id)
 	node.cancel()
 	node.stopDiscovery()
+	node.running.Wait()
 	node.peers.wait()
 	node.client.Close()
 	node.server.Close()
-	node.running.Wait()
 	assert.NilError(g.t, node.log.Close())
 }
 
--- a/internal/control/driver/node.go
+++ b/internal/control/driver/node.go
@@ -218,10 +218,10 @@
 	time.Sleep(replyFlushTime)
 	n.cancel()
 	n.stopDiscovery()
+	n.running.Wait() // the loop starts further sends until it has ended
 	n.peers.wait()
 	n.client.Close()
 	n.server.Close()
-	n.running.Wait()
 	telemetry.ControlStopped.Log(n.logger)
 	return n.log.Close()
 }
