--- a/internal/entry/forward/overload_test.go
+++ b/internal/entry/forward/overload_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wigeonbay/internal/quarantine"
 )
 
 // simulation runs a State in virtual time against simulated targets, each with three
@@ -25,12 +27,15 @@
 	retryRefused bool
 	retried      map[RequestID]bool
 	deadlines    map[RequestID]time.Time
+	hosts        map[RequestID]string
 }
 
-// result is the final status of a request and the time it took.
+// result is the final status of a request, the time it took, and for a gather how many parts
+// its answer lacks.
 type result struct {
-	status int
-	took   time.Duration
+	status  int
+	took    time.Duration
+	missing int
 }
 
 // scheduledEvent is an action to run at a time.
@@ -60,7 +65,7 @@
 	return &simulation{
 		harness: h, work: work, running: map[string]int{}, queued: map[string][]Send{},
 		results: map[RequestID]result{}, arrived: map[RequestID]time.Time{},
-		retried: map[RequestID]bool{}, deadlines: map[RequestID]time.Time{},
+		retried: map[RequestID]bool{}, deadlines: map[RequestID]time.Time{}, hosts: map[RequestID]string{},
 	}
 }
 
@@ -81,8 +86,11 @@
 func (s *simulation) sendRequest(host string, deadline time.Time) RequestID {
 	s.lastRequest++
 	request := s.lastRequest
-	s.arrived[request], s.deadlines[request] = s.now, deadline
-	s.handle(RequestArrived{Request: request, Host: host, Path: "/a/x", Deadline: deadline, Seed: uint64(request)})
+	s.arrived[request], s.deadlines[request], s.hosts[request] = s.now, deadline, host
+	s.handle(RequestArrived{
+		Request: request, Host: host, Path: "/a/x", Deadline: deadline, Seed: uint64(request),
+		Fingerprint: quarantine.NewFingerprint("GET", host, fmt.Sprint(request), nil),
+	})
 	return request
 }
 
@@ -101,9 +109,9 @@
 			at := e.At
 			s.schedule(max(0, at.Sub(s.now)), func() { s.handle(TimerFired{Request: e.Request}) })
 		case Merge:
-			s.recordResult(e.Request, http.StatusOK)
+			s.recordResult(e.Request, http.StatusOK, e.Missing)
 		case Relay:
-			s.recordResult(e.Request, http.StatusOK)
+			s.recordResult(e.Request, http.StatusOK, 0)
 		case Refuse:
 			s.handleRefusal(e)
 		}
@@ -113,7 +121,7 @@
 // handleRefusal ends a refused request or schedules its retry.
 func (s *simulation) handleRefusal(e Refuse) {
 	if !s.retryRefused || s.retried[e.Request] {
-		s.recordResult(e.Request, e.Status)
+		s.recordResult(e.Request, e.Status, 0)
 		return
 	}
 	deadline := s.deadlines[e.Request]
@@ -123,8 +131,8 @@
 	})
 }
 
-func (s *simulation) recordResult(request RequestID, status int) {
-	s.results[request] = result{status, s.now.Sub(s.arrived[request])}
+func (s *simulation) recordResult(request RequestID, status, missing int) {
+	s.results[request] = result{status, s.now.Sub(s.arrived[request]), missing}
 }
 
 // startWork starts a request on a slot of its target, or queues it there.
