--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -263,7 +263,7 @@
 		}
 		p.waiting = slices.Delete(p.waiting, at, at+1)
 		next.phase = partIdle
-		next.request.queueTime = max(next.request.queueTime, s.now.Sub(next.waitingSince))
+		next.request.recordQueueTime(next, s.now)
 		if t == nil {
 			s.markMissing(next)
 			continue
--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -112,6 +112,7 @@
 	})
 	for _, w := range hopeless {
 		w.phase = partIdle
+		w.request.recordQueueTime(w, s.now)
 		if !w.request.done {
 			s.markMissing(w)
 		}
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -286,9 +286,12 @@
 	Returning bool
 	// CallerDelay is that of RequestArrived.
 	CallerDelay time.Duration
-	// Queued is the longest time that a part waited in its pool's queue until its turn
-	// came. Parts refused while they were queued are not counted.
+	// Queued is the longest time that a part waited in its pool's queue.
 	Queued time.Duration
+	// QueueLength is the number of other requests' parts that are queued for the pools which
+	// have not answered, LeavingTargets the number of those pools' targets that leave.
+	QueueLength    int
+	LeavingTargets int
 	Parts  int
 	Missed int
 	Sends  []SendRecord
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -241,6 +241,7 @@
 		return
 	}
 	p.phase = partIdle
+	p.request.recordQueueTime(p, s.now)
 	for i, other := range p.pool.waiting {
 		if other == p {
 			p.pool.waiting = append(p.pool.waiting[:i], p.pool.waiting[i+1:]...)
@@ -274,7 +275,6 @@
 		Took:         s.now.Sub(r.arrived),
 		Returning:    r.returning,
 		CallerDelay:  r.callerDelay,
-		Queued:       r.queueTime,
 		Parts:        len(r.parts),
 		Missed:       len(r.parts) - r.answered(),
 		Hedges:       r.hedges,
@@ -287,6 +287,18 @@
 		out.Route = r.route.config.Name
 		out.Goal = r.route.config.Goal
 	}
+	for _, p := range r.parts {
+		if p.phase == partAnswered {
+			continue
+		}
+		out.QueueLength += len(p.pool.waiting)
+		if p.phase == partWaiting {
+			r.recordQueueTime(p, s.now)
+			out.QueueLength--
+		}
+		out.LeavingTargets += p.pool.countLeaving()
+	}
+	out.Queued = r.queueTime
 	out.Account = r.account.name()
 	out.Peers = s.peerRecords(r)
 	out.Sends = make([]SendRecord, 0, len(r.sends))
@@ -305,3 +317,8 @@
 	}
 	return out
 }
+
+// recordQueueTime counts the time for which a part of the request has been queued.
+func (r *request) recordQueueTime(p *part, now time.Time) {
+	r.queueTime = max(r.queueTime, now.Sub(p.waitingSince))
+}
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -57,6 +57,17 @@
 	return false
 }
 
+// countLeaving returns the number of targets that leave.
+func (p *pool) countLeaving() int {
+	count := 0
+	for _, t := range p.targets {
+		if t.leaving || t.announcement.State.Withdrawn() {
+			count++
+		}
+	}
+	return count
+}
+
 // isUnreachable reports whether the pool has targets that accept work and may get a request,
 // but this node reaches none of them.
 func (p *pool) isUnreachable(r *request) bool {
--- a/internal/entry/forward/sharing_test.go
+++ b/internal/entry/forward/sharing_test.go
@@ -192,3 +192,22 @@
 	}
 	assert.Assert(t, answered, "%+v", find[Refuse](h.allEffects))
 }
+
+// TestSummaryOfRefusedRequestTellsWhatItWaitedFor guards against logs that show neither the wait of a queued request that is refused nor what it waited behind.
+func TestSummaryOfRefusedRequestTellsWhatItWaitedFor(t *testing.T) {
+	h := newHarness(t, newTable(1, plainRoute("plain", "a", true), gatherRoute("gather", "a")))
+	h.addTarget("a1", "a", home)
+	for len(h.state.pools["a"].waiting) < 2 {
+		h.arrive("gather")
+	}
+	plain := h.arrive("plain")
+	summary := find[Refuse](h.fireTimer(plain))[0].Summary
+	assert.Equal(t, summary.Queued, summary.Took)
+	assert.Equal(t, summary.QueueLength, 2)
+	assert.Equal(t, summary.LeavingTargets, 0)
+	h.apply(TargetChanged{Announcement: api.Announcement{
+		Target: "a1", Service: "a", DataCentre: home, Incarnation: 1, Sequence: 2, Address: "10.0.0.1:1000", State: api.TargetDraining, Slots: 3,
+	}})
+	summary = find[Refuse](h.apply(RequestArrived{Request: 99, Host: "plain", Path: "/a/x", Deadline: h.now.Add(3 * time.Second)}))[0].Summary
+	assert.Equal(t, summary.LeavingTargets, 1)
+}
--- a/internal/entry/forwarder/serve.go
+++ b/internal/entry/forwarder/serve.go
@@ -265,6 +265,8 @@
 			zap.Duration("time_left", s.TimeLeft),
 			zap.Duration("caller_delay", s.CallerDelay),
 			zap.Bool("returning", s.Returning),
+			zap.Int("queue_length", s.QueueLength),
+			zap.Int("leaving_targets", s.LeavingTargets),
 			zap.Array("sends", sendRecords{s.Sends, everySend}))...)
 		return
 	}
