--- a/internal/entry/forward/sharing_test.go
+++ b/internal/entry/forward/sharing_test.go
@@ -201,13 +201,15 @@
 		h.arrive("gather")
 	}
 	plain := h.arrive("plain")
-	summary := find[Refuse](h.fireTimer(plain))[0].Summary
+	refusals := find[Refuse](h.fireTimer(plain))
+	assert.Equal(t, len(refusals), 1)
+	summary := refusals[0].Summary
 	assert.Equal(t, summary.Queued, summary.Took)
 	assert.Equal(t, summary.QueueLength, 2)
 	assert.Equal(t, summary.LeavingTargets, 0)
 	h.apply(TargetChanged{Announcement: api.Announcement{
 		Target: "a1", Service: "a", DataCentre: home, Incarnation: 1, Sequence: 2, Address: "10.0.0.1:1000", State: api.TargetDraining, Slots: 3,
 	}})
-	summary = find[Refuse](h.apply(RequestArrived{Request: 99, Host: "plain", Path: "/a/x", Deadline: h.now.Add(3 * time.Second)}))[0].Summary
+	summary = find[Refuse](h.apply(RequestArrived{Request: 99, Host: "plain", Path: "/a/x", Deadline: h.now.Add(5 * time.Second)}))[0].Summary
 	assert.Equal(t, summary.LeavingTargets, 1)
 }
