Queue of a pool: requests that would fail come before parts that a gather can do without

Cause: gathers and plain requests wait for a pool in one queue in the order of their due times. Parts of gathers are due first, and keep coming, so a plain request was never the first before it was refused at a quarter of its goal. A part that arrived was sent at once when time alone had given a target room, past the queue. Behind a target with a rate limit all queued parts counted before a plain request, which was refused at once. With client accounts the urgent gathers came first, and the guarantee against starving compared a flow with all parts, its own included.

Change: a part is spare if enough others of its gather are in flight or answered. Spare parts come after the rest, but for one send in four; the rest is ordered by the latest time at which sending is of use. An arrival queues behind what waits. A spare part counts as late by what the target has to do before, as it is lost then. The guarantee compares a flow with the others.

Tried and taken back: refusing plain requests at arrival when the estimated wait exceeds the time for which they are kept. TestHastyCallers didn't end with it; whether callers would gain was not measured.

--- a/internal/entry/forward/admit.go
+++ b/internal/entry/forward/admit.go
@@ -63,28 +63,13 @@
 	if s.sharesFairly() {
 		return s.fairWait(p)
 	}
-	ahead := len(p.pool.waiting)
-	if !p.request.returning {
-		ahead = s.countTimely(p.pool)
-	}
-	if ahead == 0 {
+	ahead := s.countBefore(p, func(w *part) bool { return p.request.returning || s.isTimely(w) })
+	if ahead == 0 && (len(p.pool.waiting) == 0 || p.request.route.config.IsGather()) {
 		return 0
 	}
 	return p.pool.admission.EstimateWait(ahead + 1)
 }
 
-// countTimely returns the number of a pool's queued parts that can still be answered
-// within their goal.
-func (s *State) countTimely(p *pool) int {
-	count := 0
-	for _, w := range p.waiting {
-		if s.isTimely(w) {
-			count++
-		}
-	}
-	return count
-}
-
 // isTimely reports whether a part sent now would usually be answered within its
 // goal. A returning caller has already missed its goal, so its parts are served after
 // those that can still meet theirs.
@@ -92,6 +77,34 @@
 	return !p.request.returning && s.now.Add(s.usualWork(p.request.route)).Before(p.request.due)
 }
 
+// replyTime returns how long a part takes at the target of its pool that would answer it first,
+// with what the targets have to do before.
+func (s *State) replyTime(p *part) time.Duration {
+	e, route := &p.pool.replyEstimate, p.request.route
+	if e.route == route && e.at.Equal(s.now) && e.attempt == s.lastAttempt {
+		return e.time
+	}
+	work, best := s.usualWork(route), time.Duration(0)
+	for _, t := range p.pool.targets {
+		if !t.acceptsWork() || t.unreachable || s.now.Before(t.heldUntil(s.now)) {
+			continue
+		}
+		if expected := s.expectedTime(t, work); best == 0 || expected < best {
+			best = expected
+		}
+	}
+	*e = replyEstimate{route: route, at: s.now, attempt: s.lastAttempt, time: max(work, best)}
+	return e.time
+}
+
+// replyEstimate is the last result of replyTime for a pool.
+type replyEstimate struct {
+	route   *route
+	at      time.Time
+	attempt AttemptID
+	time    time.Duration
+}
+
 // overloadRetryAfter returns the retry time for a request refused for overload.
 func (s *State) overloadRetryAfter(r *request) time.Duration {
 	goal := r.route.config.Goal
--- a/internal/entry/forward/arrive.go
+++ b/internal/entry/forward/arrive.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"net/http"
-	"slices"
 	"time"
 )
 
@@ -125,13 +124,25 @@
 		return
 	}
 	s.requests[r.id] = r
-	for _, p := range r.parts {
-		if r.done || r.handedOver {
-			return
+	s.dispatchParts(r)
+	if !r.done && !r.handedOver {
+		s.setTimer(r)
+	}
+}
+
+// dispatchParts dispatches the parts of a request, those that have to be queued last: whether
+// the request can do without one of them depends on how many of the others are sent.
+func (s *State) dispatchParts(r *request) {
+	for _, queue := range []bool{false, true} {
+		for _, p := range r.parts {
+			if r.done || r.handedOver {
+				return
+			}
+			if p.phase == partIdle && (queue || len(p.pool.waiting) == 0) {
+				s.dispatch(p)
+			}
 		}
-		s.dispatch(p)
 	}
-	s.setTimer(r)
 }
 
 // makeParts creates a part for each pool of a gather route, or one for the pool that
@@ -202,7 +213,8 @@
 	}
 	t, wait := s.choose(p)
 	switch {
-	case t != nil && s.mustQueue(p):
+	case t != nil && len(p.pool.waiting) > 0:
+		// Time alone may have given the target room. What waits for it comes first.
 		s.enqueue(p)
 		s.sendWaiting(p.pool)
 	case t != nil:
@@ -210,92 +222,11 @@
 	case wait:
 		s.enqueue(p)
 	default:
-		p.phase = partIdle
+		p.setPhase(partIdle)
 		s.markMissing(p)
 	}
 }
 
-// enqueue adds a part to its pool's queue, which is ordered by precedes.
-func (s *State) enqueue(p *part) {
-	s.counters.Queued++
-	p.phase = partWaiting
-	p.waitingSince = s.now
-	at := len(p.pool.waiting)
-	for at > 0 && precedes(p, p.pool.waiting[at-1]) {
-		at--
-	}
-	p.pool.waiting = append(p.pool.waiting, nil)
-	copy(p.pool.waiting[at+1:], p.pool.waiting[at:])
-	p.pool.waiting[at] = p
-}
-
-// precedes reports whether a is queued before b: by due time, then by the lower
-// priority number of its account or route.
-func precedes(a, b *part) bool {
-	if !a.request.due.Equal(b.request.due) {
-		return a.request.due.Before(b.request.due)
-	}
-	return a.request.priority() < b.request.priority()
-}
-
-// sendWaiting sends a pool's queued parts until the next one finds no target with
-// room. A part that has no target left to try is marked missing. Parts that are bound to
-// regions whose targets have no room don't hold up the others.
-func (s *State) sendWaiting(p *pool) {
-	var full []*bound
-	for len(p.waiting) > 0 {
-		at := s.nextWaiting(p, full)
-		if at < 0 {
-			return
-		}
-		next := p.waiting[at]
-		if s.expired(next.request) {
-			s.timeOut(next.request)
-			continue
-		}
-		t, wait := s.choose(next)
-		if t == nil && wait && next.request.bound != nil {
-			full = append(full, next.request.bound)
-			continue
-		}
-		if t == nil && wait {
-			return
-		}
-		p.waiting = slices.Delete(p.waiting, at, at+1)
-		next.phase = partIdle
-		next.request.recordQueueTime(next, s.now)
-		if t == nil {
-			s.markMissing(next)
-			continue
-		}
-		s.send(next, t, false)
-		s.setTimer(next.request)
-	}
-}
-
-// nextWaiting returns the index of the queued part to send next: the first that can
-// still meet its goal, or else the first. Without that preference every request of a
-// long queue would be late. Parts with one of the bounds in full are left out; it returns -1
-// if there is no other.
-func (s *State) nextWaiting(p *pool, full []*bound) int {
-	if s.sharesFairly() {
-		return s.nextFair(p, full)
-	}
-	first := -1
-	for i, w := range p.waiting {
-		if len(full) > 0 && slices.Contains(full, w.request.bound) {
-			continue
-		}
-		if s.isTimely(w) {
-			return i
-		}
-		if first < 0 {
-			first = i
-		}
-	}
-	return first
-}
-
 // send starts an attempt of a part at a target.
 func (s *State) send(p *part, t *target, hedge bool) {
 	r := p.request
@@ -315,7 +246,7 @@
 	}
 	p.sends++
 	p.runs++
-	p.phase = partSent
+	p.setPhase(partSent)
 	p.tried = append(p.tried, t)
 	s.scheduleHedge(p, t)
 	p.outstanding = append(p.outstanding, a)
--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -40,13 +40,13 @@
 	return min(t.limit.allowedUntil(latest), t.warmupAllowedUntil(latest))
 }
 
-// queuedBefore returns how many of a pool's queued parts a part comes after, unless it is
-// one of them itself.
-func (p *part) queuedBefore() int {
+// queuedBefore returns how many of its pool's queued parts come before a part, 0 for one of
+// them.
+func (s *State) queuedBefore(p *part) int {
 	if p.phase == partWaiting {
 		return 0
 	}
-	return len(p.pool.waiting)
+	return s.countBefore(p, func(*part) bool { return true })
 }
 
 // lastStart returns the latest time at which it is of use to send a part of a request. A
@@ -59,10 +59,11 @@
 	return s.unsentDeadline(r)
 }
 
-// availableIn returns how long it takes until a pool has a target for a request: 0 if it
-// has one now or early enough, else the time until the first retry time or health check.
+// availableIn returns how long it takes until a part's pool has a target for it: 0 if it has
+// one now or early enough, else the time until the first retry time or health check.
 // It is maxProbeInterval for a pool without any target.
-func (s *State) availableIn(r *request, p *pool) time.Duration {
+func (s *State) availableIn(wanted *part) time.Duration {
+	r, p := wanted.request, wanted.pool
 	if s.awaitsTargets(r, p) {
 		return 0
 	}
@@ -77,7 +78,7 @@
 		} else {
 			room += s.roomInTime(r, t)
 		}
-		if room > len(p.waiting) {
+		if room > len(p.waiting) || room > 0 && room > s.queuedBefore(wanted) {
 			return 0
 		}
 		if !known || wait < soonest {
@@ -92,7 +93,7 @@
 func (s *State) neededAvailableIn(r *request) time.Duration {
 	waits := make([]time.Duration, len(r.parts))
 	for i, p := range r.parts {
-		waits[i] = s.availableIn(r, p.pool)
+		waits[i] = s.availableIn(p)
 	}
 	slices.Sort(waits)
 	return waits[r.neededParts()-1]
@@ -111,7 +112,7 @@
 		return true
 	})
 	for _, w := range hopeless {
-		w.phase = partIdle
+		w.setPhase(partIdle)
 		w.request.recordQueueTime(w, s.now)
 		if !w.request.done {
 			s.markMissing(w)
--- a/internal/entry/forward/effect.go
+++ b/internal/entry/forward/effect.go
@@ -292,10 +292,10 @@
 	// have not answered, LeavingTargets the number of those pools' targets that leave.
 	QueueLength    int
 	LeavingTargets int
-	Parts  int
-	Missed int
-	Sends  []SendRecord
-	Hedges int
+	Parts          int
+	Missed         int
+	Sends          []SendRecord
+	Hedges         int
 	// NoHedge is the reason why a hedge was last held back, empty if none was.
 	NoHedge NoHedge
 	// Peers describes how peers were asked.
--- a/internal/entry/forward/fairness.go
+++ b/internal/entry/forward/fairness.go
@@ -20,8 +20,8 @@
 	usualTime  = 2 * time.Minute
 	// weightInterval is the time between two computations of the weights.
 	weightInterval = 250 * time.Millisecond
-	// leastServed is the fraction of a flow's parts that has to be sent, relative to that of
-	// all parts of the pool. The rule is a quarter; the rest covers the delay of the averages.
+	// leastServed is the fraction of a flow's parts that has to be sent, relative to that of the
+	// other parts of the pool. The rule is a quarter; the rest covers the delay of the averages.
 	leastServed = 0.3
 	// minOffered is the number of recent parts of a flow from which that fraction is known.
 	minOffered = 4
@@ -215,20 +215,23 @@
 }
 
 // starved returns the fraction of a flow's recent parts that was sent, and whether that is too
-// small beside that of all parts.
+// small beside that of the other parts.
 func (f *fairness) starved(now time.Time, of *flow) (float64, bool) {
-	offered, all := of.offered.value(now, recentTime), f.offered.value(now, recentTime)
-	if offered < minOffered || all == 0 {
+	offered, served := of.offered.value(now, recentTime), of.served.value(now, recentTime)
+	if offered < minOffered {
 		return 1, false
 	}
-	fraction := of.served.value(now, recentTime) / offered
-	return fraction, fraction < leastServed*f.served.value(now, recentTime)/all
+	fraction := served / offered
+	otherOffered, otherServed := f.offered.value(now, recentTime)-offered, f.served.value(now, recentTime)-served
+	return fraction, otherOffered > 0 && fraction < leastServed*otherServed/otherOffered
 }
 
 // turn orders the parts that wait for a pool.
 type turn struct {
-	// late parts can't be answered in time and come last, starved ones first.
+	// late parts can't be answered in time and come last, starved ones first. Parts with last
+	// set come after the others that are starved, or not starved, like them.
 	late     bool
+	last     bool
 	starved  bool
 	fraction float64
 	priority int
@@ -247,6 +250,8 @@
 		return a.starved
 	case a.starved && a.fraction != b.fraction:
 		return a.fraction < b.fraction
+	case a.last != b.last:
+		return b.last
 	case a.priority != b.priority:
 		return a.priority < b.priority
 	case a.start != b.start:
--- a/internal/entry/forward/fairness_test.go
+++ b/internal/entry/forward/fairness_test.go
@@ -371,8 +371,8 @@
 	}
 }
 
-// TestOrderWithoutAccounts: the order of a deployment without accounts must stay as it was: by
-// due time, then by priority, timely parts first.
+// TestOrderWithoutAccounts: a deployment without accounts queues parts by the latest time at
+// which sending them is of use, then by priority.
 func TestOrderWithoutAccounts(t *testing.T) {
 	h := newHarness(t, newTable(1, playRoute("a", 2), playRoute("b", 1)))
 	h.addTarget("t1", "p", home)
--- a/internal/entry/forward/fairqueue.go
+++ b/internal/entry/forward/fairqueue.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// isLate reports whether a part sent now would usually be answered too late: past its goal, or
+// isTooLate reports whether a part sent now would usually be answered too late: past its goal, or
 // for a returning caller past its deadline.
-func (s *State) isLate(p *part) bool {
+func (s *State) isTooLate(p *part) bool {
 	r := p.request
 	if r.returning {
 		return !s.now.Add(s.usualWork(r.route)).Before(r.deadline.Add(-answerMargin))
@@ -54,19 +54,20 @@
 	return !s.isTimely(p)
 }
 
-// nextFair returns the index of the queued part to send next, without those with one of the
-// bounds in full, or -1.
-func (s *State) nextFair(p *pool, full []*bound) int {
-	best, bestTurn := -1, turn{}
+// nextFair returns the queued part to send next, nil if all are blocked.
+func (s *State) nextFair(p *pool, blocked *blockedParts) *part {
+	var best *part
+	var bestTurn turn
 	p.fairness.round++
-	for i, w := range p.waiting {
-		if len(full) > 0 && slices.Contains(full, w.request.bound) {
+	spareFirst := p.isSpareTurn()
+	for _, w := range p.waiting {
+		if blocked.contains(w) {
 			continue
 		}
 		t := p.fairness.turnOf(s.now, s.flowOf(w))
-		t.late, t.fresh = s.isLate(w), !w.request.returning
-		if best < 0 || t.before(bestTurn) {
-			best, bestTurn = i, t
+		t.late, t.last, t.fresh = s.isTooLate(w) || !w.request.returning && s.isLate(w), w.isSpare() != spareFirst, !w.request.returning
+		if best == nil || t.before(bestTurn) {
+			best, bestTurn = w, t
 		}
 	}
 	return best
@@ -77,10 +78,15 @@
 	if len(p.pool.waiting) == 0 {
 		return 0
 	}
-	of, own := s.flowOf(p), 0
+	of, own, spare := s.flowOf(p), 0, 0
+	gather := p.request.route.config.IsGather()
 	p.pool.fairness.beginCount()
 	for _, w := range p.pool.waiting {
-		if s.isLate(w) {
+		if s.isTooLate(w) {
+			continue
+		}
+		if !gather && w.isSpare() {
+			spare++
 			continue
 		}
 		switch other := s.flowOf(w); {
@@ -91,16 +97,13 @@
 		}
 	}
 	ahead, least := p.pool.fairness.waitOf(s.now, of, own)
+	ahead += min(spare, spareAmong(ahead))
 	if ahead > 0 {
 		least = max(least, p.pool.admission.EstimateWait(ahead+1))
 	}
 	return least
 }
 
-// mustQueue reports whether a part that could be sent now has to take its turn among those that
-// wait. Without that, an account would get room by sending often.
-func (s *State) mustQueue(p *part) bool { return s.sharesFairly() && len(p.pool.waiting) > 0 }
-
 // shedAt returns when a request of which nothing has been sent is refused, so that its caller
 // can be told to retry, or for a returning caller when it is decided again whether it will be
 // served in time. It is the zero time for a request that isn't decided on any more.
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -22,7 +22,7 @@
 // no part is pending, or if the answer is due and reaches the least coverage.
 func (s *State) answerPart(p *part, a *attempt) {
 	r := p.request
-	p.phase = partAnswered
+	p.setPhase(partAnswered)
 	p.answer = a
 	r.pending--
 	if !r.route.config.IsGather() {
@@ -61,7 +61,7 @@
 	if r.done || r.handedOver || p.phase == partAnswered || p.phase == partMissing {
 		return
 	}
-	p.phase = partMissing
+	p.setPhase(partMissing)
 	r.pending--
 	r.missing++
 	switch {
@@ -240,7 +240,7 @@
 	if p.phase != partWaiting {
 		return
 	}
-	p.phase = partIdle
+	p.setPhase(partIdle)
 	p.request.recordQueueTime(p, s.now)
 	for i, other := range p.pool.waiting {
 		if other == p {
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -24,6 +24,10 @@
 	// waiting is the queue of parts that found no target with room, ordered by
 	// precedes.
 	waiting []*part
+	// sentBeforeSpare counts the parts that were sent while spare ones waited, since the last
+	// spare one.
+	sentBeforeSpare int
+	replyEstimate   replyEstimate
 	// admission estimates how fast the queue is served.
 	admission limit.Admission
 	// fairness divides the pool among client accounts.
@@ -145,7 +149,7 @@
 // Unreachable targets are left out until they are reachable again.
 func (s *State) choose(p *part) (best *target, wait bool) {
 	wait = s.awaitsTargets(p.request, p.pool)
-	room, ahead := 0, p.queuedBefore()
+	room, ahead := 0, -1
 	work := s.usualWork(p.request.route)
 	var bestScore time.Duration
 	targets := p.pool.targets
@@ -156,8 +160,14 @@
 			continue
 		}
 		if !t.hasRoom(s.now) {
+			if wait {
+				continue
+			}
+			if ahead < 0 {
+				ahead = s.queuedBefore(p)
+			}
 			room += s.roomInTime(p.request, t)
-			wait = wait || room > ahead
+			wait = room > ahead
 			continue
 		}
 		score := s.score(t, work)
--- a/internal/entry/forward/reply.go
+++ b/internal/entry/forward/reply.go
@@ -197,7 +197,7 @@
 	if p.phase != partSent || len(p.outstanding) > 0 {
 		return
 	}
-	p.phase = partIdle
+	p.setPhase(partIdle)
 	config := &p.request.route.config
 	if !config.Idempotent && last.MayHaveRun() {
 		s.markMissing(p)
--- a/internal/entry/forward/sharing_test.go
+++ b/internal/entry/forward/sharing_test.go
@@ -149,7 +149,7 @@
 		if send.Target == "a1" { // other nodes keep the target full
 			h.arrive("plain")
 			delete(h.inFlight, send.Attempt)
-			h.apply(AttemptEnded{Attempt: send.Attempt, Outcome: OutcomeSuccess, Status: 200, Load: LoadReport{Known: true, Running: 3, Waiting: 18}})
+			h.apply(AttemptEnded{Attempt: send.Attempt, Outcome: OutcomeSuccess, Status: 200, Load: LoadReport{Known: true, Running: 3, Waiting: 20}})
 		}
 	}
 	plain := h.arrive("plain")
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -145,9 +145,11 @@
 	// attempts is the number of targets of each pool that the request may be sent to.
 	attempts int
 	parts    []*part
-	// pending is the number of parts that are neither answered nor missing.
+	// pending is the number of parts that are neither answered nor missing, placed that of
+	// parts in flight or answered.
 	pending int
 	missing int
+	placed  int
 	// mayHaveRun reports that a target may have run the request.
 	mayHaveRun bool
 	done       bool
@@ -202,7 +204,9 @@
 	// attempt succeeds.
 	failure      *attempt
 	waitingSince time.Time
-	hedged       bool
+	// startBy is the latest time at which it was of use to send the part, as of waitingSince.
+	startBy time.Time
+	hedged  bool
 	// flow is that of the part in its pool, nil until it is needed.
 	flow *flow
 	// hedgeAt is when the part is hedged without a reply, lastHedge the latest time at
@@ -211,6 +215,18 @@
 	lastHedge time.Time
 }
 
+// setPhase sets the state of a part.
+func (p *part) setPhase(phase partPhase) {
+	if p.phase.isPlaced() {
+		p.request.placed--
+	}
+	if p.phase = phase; phase.isPlaced() {
+		p.request.placed++
+	}
+}
+
+func (phase partPhase) isPlaced() bool { return phase == partSent || phase == partAnswered }
+
 // attempt is one send of a part to a target.
 type attempt struct {
 	id           AttemptID
