Targets that leave serve until their drain time ends where no other is left

What callers saw: when all searchers of a service leave, as those of an old index do, nodes refused its requests at once with 503 no_target, although each searcher serves on for its drain time after the acknowledgement.

Cause: a node stops sending to a target the moment it learns that it leaves, whether or not another one is left.

Change: where no target that accepts work is reachable, requests go to those that leave, until a second before the drain time is over. A control process acknowledges a departure after the nodes that follow it know of it, so the time since a node has learned it is at least that since the acknowledgement. A target that is first heard of as leaving, or is gone, gets nothing.

--- a/internal/entry/forward/admit.go
+++ b/internal/entry/forward/admit.go
@@ -85,8 +85,9 @@
 		return e.time
 	}
 	work, best := s.usualWork(route), time.Duration(0)
+	leaving := s.needsLeaving(p.pool, p.request.bound)
 	for _, t := range p.pool.targets {
-		if !t.acceptsWork() || t.unreachable || s.now.Before(t.heldUntil(s.now)) {
+		if !s.takesRequests(t, leaving) || t.unreachable || s.now.Before(t.heldUntil(s.now)) {
 			continue
 		}
 		if expected := s.expectedTime(t, work); best == 0 || expected < best {
--- a/internal/entry/forward/demand.go
+++ b/internal/entry/forward/demand.go
@@ -16,6 +16,9 @@
 		return // another incarnation has replaced the target
 	}
 	if d.Leaving && !t.leaving {
+		if t.acceptsWork() {
+			t.leavingSince = s.now
+		}
 		t.leaving = true
 		s.emit(ReportLeaving{Announcement: t.announcement})
 		s.sharePoolConnections(t.pool)
@@ -68,8 +71,9 @@
 		return 0
 	}
 	soonest, known, room := maxProbeInterval, false, 0
+	leaving := s.needsLeaving(p, r.bound)
 	for _, t := range p.targets {
-		if !t.acceptsWork() || !r.mayReach(t) {
+		if !s.takesRequests(t, leaving) || !r.mayReach(t) {
 			continue
 		}
 		wait := t.demandedUntil(s.now).Sub(s.now)
--- a/internal/entry/forward/explain.go
+++ b/internal/entry/forward/explain.go
@@ -66,9 +66,9 @@
 
 func (s *State) explainPool(p *pool, work time.Duration, b *bound) api.PoolExplanation {
 	out := api.PoolExplanation{Pool: p.name, Candidates: []api.RouteCandidate{}}
-	best := 0.0
+	best, leaving := 0.0, s.needsLeaving(p, b)
 	for _, t := range p.targets {
-		c := s.explainTarget(t, work, b)
+		c := s.explainTarget(t, work, b, leaving)
 		out.Candidates = append(out.Candidates, c)
 		if c.Excluded == "" && (out.Chosen == "" || c.ExpectedMS < best) {
 			out.Chosen, best = c.Target, c.ExpectedMS
@@ -77,7 +77,7 @@
 	return out
 }
 
-func (s *State) explainTarget(t *target, work time.Duration, b *bound) api.RouteCandidate {
+func (s *State) explainTarget(t *target, work time.Duration, b *bound, leaving bool) api.RouteCandidate {
 	c := api.RouteCandidate{
 		Target:     t.id(),
 		DataCentre: t.announcement.DataCentre,
@@ -93,7 +93,7 @@
 	switch {
 	case t.evacuated:
 		c.Excluded = excludedEvacuated
-	case !t.acceptsWork():
+	case !s.takesRequests(t, leaving):
 		c.Excluded = excludedLeaving
 	case !b.allows(t.announcement.DataCentre):
 		c.Excluded = excludedRegion
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -154,9 +154,10 @@
 	var bestScore time.Duration
 	targets := p.pool.targets
 	p.pool.cursor++
+	leaving := s.needsLeaving(p.pool, p.request.bound)
 	for i := range targets {
 		t := targets[(i+p.pool.cursor)%len(targets)]
-		if !t.acceptsWork() || t.unreachable || !p.request.mayReach(t) || p.hasTried(t) {
+		if !s.takesRequests(t, leaving) || t.unreachable || !p.request.mayReach(t) || p.hasTried(t) {
 			continue
 		}
 		if !t.hasRoom(s.now) {
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -18,6 +18,9 @@
 	// Node is the name of this node, and Quota says how far accounts may exceed their quotas.
 	Node  string
 	Quota quota.Rules
+	// DrainTime is how long a target serves on after a control process has acknowledged that it
+	// leaves, 0 if unknown.
+	DrainTime time.Duration
 	// Regions holds the region of each data centre that requests which are bound to regions
 	// may be sent to.
 	Regions map[string]string
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -101,6 +101,9 @@
 	lastReply    time.Time
 	unansweredIn isolation.Marker
 
+	// leavingSince is when this node learned that the target, which accepted work, leaves.
+	leavingSince time.Time
+
 	// evacuated is set while the target's data centre is evacuated.
 	evacuated bool
 
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -112,7 +112,7 @@
 			s.holdUntilHealthy(t)
 		}
 	}
-	t.announcement = a
+	s.applyAnnouncement(t, a)
 	if s.setEvacuated(t) {
 		s.countUnreachable(0)
 	}
--- a/internal/entry/forwarder/node.go
+++ b/internal/entry/forwarder/node.go
@@ -133,6 +133,7 @@
 				Overshoot: cfg.Settings.Forward.WarmupOvershoot,
 				Slack:     cfg.Settings.Forward.WarmupSlack,
 			},
+			DrainTime: cfg.Settings.Forward.TargetDrainTime,
 		}),
 		pool:     pool.New(cfg.DialTargets, pool.WithoutIdleChecks()),
 		targets:  discovery.NewTargets(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,9 @@
 	ExtraWindow time.Duration `ini:"extra_window" check:"positive"`
 	// ShutdownTime limits how long a stopping node keeps running.
 	ShutdownTime time.Duration `ini:"shutdown_time" check:"positive"`
+	// TargetDrainTime is how long a target serves on after a control process has acknowledged
+	// that it leaves. It is used where no other target is left; with 0 it never is.
+	TargetDrainTime time.Duration `ini:"target_drain_time"`
 	// QuotaWindow, QuotaOvershoot and QuotaSlack say how far the requests of a client account
 	// may exceed its quota: within any window all entry nodes together send at most 1 +
 	// QuotaOvershoot times what the rate and the burst allow, plus QuotaSlack.
