Replies: one target takes at most half of the memory for them

Cause: the bodies that are being read share 16 MB, first come first served. An endless body grows to 8 MB before it fails, so a few of them take all.

Change: a target's replies take together no more of that memory than they leave to others, so each further faulty target gets half of what is left. The whole is 24 MB now, as one reply of 8 MB needs 12 MB while its buffer grows. Replies to health checks have a share of their own.

Memory of endless heads and bodies was bounded before.

--- a/internal/entry/bodyread/bodyread_test.go
+++ b/internal/entry/bodyread/bodyread_test.go
@@ -70,3 +70,19 @@
 
 // Read implements io.Reader.
 func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// TestShareLeavesAsMuchToOthers guards against one sender whose bodies use up the budget.
+func TestShareLeavesAsMuchToOthers(t *testing.T) {
+	budget := NewBudget(testBudget)
+	first, second := NewShare(budget), NewShare(budget)
+	assert.Assert(t, !first.Take(testBudget/2+1))
+	assert.Assert(t, first.Take(testBudget/2))
+	assert.Assert(t, !first.Take(1), "more than it leaves")
+	assert.Assert(t, second.Take(testBudget/4))
+	assert.Assert(t, !second.Take(1))
+	assert.Equal(t, budget.Left(), int64(testBudget/4))
+	first.GiveBack(testBudget / 2)
+	assert.Assert(t, second.Take(testBudget/8))
+	second.GiveBack(testBudget * 3 / 8)
+	assert.Equal(t, budget.Left(), int64(testBudget))
+}
--- a/internal/entry/pool/conn.go
+++ b/internal/entry/pool/conn.go
@@ -41,7 +41,7 @@
 	reader  *bufio.Reader
 	// headLimit is what reader reads from. It bounds the head of a reply.
 	headLimit   *headLimiter
-	replyMemory *bodyread.Budget
+	replyMemory bodyread.Memory
 	// hasReplied reports whether the target has answered on this connection.
 	hasReplied bool
 	lastUsed   time.Time
@@ -54,7 +54,7 @@
 	mustClose bool
 }
 
-func newConn(netConn net.Conn, dialTime time.Duration, replyMemory *bodyread.Budget) *conn {
+func newConn(netConn net.Conn, dialTime time.Duration, replyMemory bodyread.Memory) *conn {
 	limiter := &headLimiter{source: netConn}
 	return &conn{
 		netConn:     netConn,
--- a/internal/entry/pool/endless_test.go
+++ b/internal/entry/pool/endless_test.go
@@ -17,6 +17,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"wigeonbay/internal/api"
 )
 
 // endlessTarget answers each request with a prefix and then with the same bytes over
@@ -183,3 +185,48 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapInuse
 }
+
+// TestEndlessRepliesLeaveMemoryForLargeReplies guards against good replies that fail because endless ones of faulty targets hold the memory for replies.
+//
+// fault: endless-reply x forward
+func TestEndlessRepliesLeaveMemoryForLargeReplies(t *testing.T) {
+	const (
+		faulty, perTarget = 4, 5
+		goodBytes         = 256 << 10
+	)
+	bad := serveEndless(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 16<<10), 2*time.Millisecond)
+	good := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("y", goodBytes))
+	})
+	p := New(nil, WithoutIdleChecks())
+	t.Cleanup(p.Close)
+	p.Configure("good", good, 4, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var requests sync.WaitGroup
+	for i := range faulty {
+		id := api.TargetID(fmt.Sprint("bad-", i))
+		p.Configure(id, bad.address, perTarget, 0)
+		for range perTarget {
+			requests.Go(func() {
+				for ctx.Err() == nil {
+					_, err := p.Send(ctx, id, Request{Method: http.MethodGet, Bytes: []byte(request)})
+					assert.Check(t, err != nil)
+				}
+			})
+		}
+	}
+	failed := 0
+	for range 300 {
+		reply, err := p.Send(ctx, "good", Request{Method: http.MethodGet, Bytes: []byte(request)})
+		if err != nil || len(reply.Body) != goodBytes {
+			failed++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, failed, 0, "good requests failed")
+	cancel()
+	requests.Wait()
+	assert.Equal(t, p.replyMemory.Left(), int64(maxReplyMemory))
+	awaitClosed(t, bad)
+}
--- a/internal/entry/pool/limits.go
+++ b/internal/entry/pool/limits.go
@@ -17,8 +17,9 @@
 	maxReplyBytes = 8 << 20
 	// maxReplyMemory bounds the memory that the bodies being read take together
 	// beyond bodyread.FreeBytes each. Without it a few targets that send without end would
-	// exhaust the memory of a small VM.
-	maxReplyMemory = 16 << 20
+	// exhaust the memory of a small VM. One target takes at most half of it: a reply of
+	// maxReplyBytes, and half as much while its buffer grows.
+	maxReplyMemory = 3*maxReplyBytes + bodyread.FreeBytes
 )
 
 // The texts are the causes in the log of requests.
@@ -55,7 +56,7 @@
 
 // readBody reads the body of a reply. The memory taken from the budget is given back when
 // the body has been read.
-func readBody(res *http.Response, memory *bodyread.Budget) ([]byte, error) {
+func readBody(res *http.Response, memory bodyread.Memory) ([]byte, error) {
 	body, taken, err := bodyread.Read(res.Body, res.ContentLength, maxReplyBytes, memory)
 	memory.GiveBack(taken)
 	switch {
--- a/internal/entry/pool/pool.go
+++ b/internal/entry/pool/pool.go
@@ -93,6 +93,8 @@
 	dial Dial
 	// replyMemory is shared by the replies that are being read from all targets.
 	replyMemory *bodyread.Budget
+	// probeMemory is the share of the replies to probes.
+	probeMemory *bodyread.Share
 
 	mu         sync.Mutex
 	targets    map[api.TargetID]*target
@@ -122,9 +124,10 @@
 	if dial == nil {
 		dial = DialTCP
 	}
+	replyMemory := bodyread.NewBudget(maxReplyMemory)
 	p := &Pool{
 		dial: dial, targets: map[api.TargetID]*target{}, stopped: make(chan struct{}),
-		replyMemory: bodyread.NewBudget(maxReplyMemory),
+		replyMemory: replyMemory, probeMemory: bodyread.NewShare(replyMemory),
 	}
 	if config.idleChecks {
 		p.background.Add(1)
@@ -293,7 +296,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	c := newConn(netConn, 0, p.replyMemory)
+	c := newConn(netConn, 0, p.probeMemory)
 	defer c.close()
 	reply, _, err := c.roundTrip(ctx, Request{Method: method, Bytes: request})
 	return reply, err
--- a/internal/entry/pool/target.go
+++ b/internal/entry/pool/target.go
@@ -20,8 +20,9 @@
 
 // target manages the connections to one target.
 type target struct {
-	dial        Dial
-	replyMemory *bodyread.Budget
+	dial Dial
+	// replyMemory is the target's share of that of the pool.
+	replyMemory *bodyread.Share
 
 	mu sync.Mutex
 	// address is the target's host:port.
@@ -44,7 +45,7 @@
 }
 
 func newTarget(address string, dial Dial, replyMemory *bodyread.Budget) *target {
-	return &target{dial: dial, replyMemory: replyMemory, address: address, maxIdle: 1, changed: make(chan struct{})}
+	return &target{dial: dial, replyMemory: bodyread.NewShare(replyMemory), address: address, maxIdle: 1, changed: make(chan struct{})}
 }
 
 // configure sets the address and the budget, and closes idle connections in
