A peer is asked on although targets of one service are full or silent there

Cause: a request that timed out at a peer, or was refused there for overload, made the node avoid the peer for a second, for all services. Both say something of the targets of one service only. A reply without end is one way to get there, a slow searcher another.

Change: a peer that has answered other requests since is not avoided after a time-out, and one that refuses for overload is chosen last instead.

--- a/internal/entry/forward/delegate.go
+++ b/internal/entry/forward/delegate.go
@@ -245,7 +245,7 @@
 		return
 	}
 	r.delegation = nil
-	s.avoidPeer(r, d.peer, ev)
+	s.avoidPeer(d, ev)
 	switch ev.Outcome {
 	case DelegationAnswered:
 		s.passOn(r, ev)
@@ -273,12 +273,14 @@
 
 // avoidPeer keeps requests from a peer that can't take any at the moment. What it lacks for a
 // request that is bound to regions it may have for others.
-func (s *State) avoidPeer(r *request, p *peer, ev DelegationEnded) {
+func (s *State) avoidPeer(d *delegation, ev DelegationEnded) {
+	r, p := d.request, d.peer
 	if ev.Stopping {
 		p.lastUntil = s.now.Add(peerPause)
 	}
 	unable := ev.Reason == ReasonIsolated || ev.Reason == ReasonOtherTable || ev.Reason == ReasonShutdown
 	switch {
+	case ev.Outcome == DelegationLost && s.waitedForTarget(d):
 	case ev.Outcome == DelegationNotSent, ev.Outcome == DelegationLost, unable:
 		p.avoidUntil = s.now.Add(peerPause)
 	case ev.Reason == ReasonNoTarget, ev.Reason == ReasonLowCoverage:
@@ -286,10 +288,17 @@
 			p.lastUntil = s.now.Add(lackPause)
 		}
 	case ev.Reason == ReasonOverload:
-		p.avoidUntil = s.now.Add(min(ev.RetryAfter, peerPause))
+		// The pools of this request are full there; those of others may have room.
+		p.lastUntil = s.now.Add(min(ev.RetryAfter, peerPause))
 	}
 }
 
+// waitedForTarget reports whether a peer that has not answered in time answered other requests
+// meanwhile: then it waits for a target, which says nothing against the peer.
+func (s *State) waitedForTarget(d *delegation) bool {
+	return !s.now.Before(s.peerDeadline(d.request, d.peer)) && d.peer.lastReply.After(d.sent)
+}
+
 // handlePeerRefusal asks another peer if a request has not run and may be served there, or
 // else refuses it as the peer did.
 func (s *State) handlePeerRefusal(r *request, from *peer, ev DelegationEnded) {
--- a/internal/entry/forward/delegate_test.go
+++ b/internal/entry/forward/delegate_test.go
@@ -493,3 +493,36 @@
 		assert.Equal(t, h.onlySend(h.arrive("h")).Target, api.TargetID("a2"))
 	}
 }
+
+// TestPeerServesOthersBesideOneFaultyService guards against a node that asks its only peer nothing for a second because targets of one service are full or silent there.
+//
+// fault: cut-from-targets x forward
+func TestPeerServesOthersBesideOneFaultyService(t *testing.T) {
+	for name, fail := range map[string]func(h *harness, faulty Delegate){
+		"full": func(h *harness, faulty Delegate) {
+			h.apply(DelegationEnded{Delegation: faulty.Delegation, Outcome: DelegationRefused, Status: 503, Reason: ReasonOverload, RetryAfter: 2 * time.Second})
+		},
+		"silent": func(h *harness, faulty Delegate) {
+			_, effects := h.arriveAt("good")
+			h.advance(10 * time.Millisecond)
+			h.apply(DelegationEnded{Delegation: onlyDelegation(h.t, effects).Delegation, Outcome: DelegationAnswered, Status: 200})
+			h.fireTimer(faulty.Request)
+		},
+		"silent, and the call has ended": func(h *harness, faulty Delegate) {
+			_, effects := h.arriveAt("good")
+			h.advance(10 * time.Millisecond)
+			h.apply(DelegationEnded{Delegation: onlyDelegation(h.t, effects).Delegation, Outcome: DelegationAnswered, Status: 200})
+			h.now = faulty.PeerDeadline
+			h.apply(DelegationEnded{Delegation: faulty.Delegation, Outcome: DelegationLost})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newIsolatedHarness(t, plainRoute("good", "a", true), plainRoute("faulty", "b", true))
+			h.apply(PeersChanged{Peers: []Peer{farPeer}})
+			_, effects := h.arriveAt("faulty")
+			fail(h, onlyDelegation(t, effects))
+			_, effects = h.arriveAt("good")
+			assert.Equal(t, onlyDelegation(t, effects).Peer, farPeer)
+		})
+	}
+}
--- a/internal/entry/forward/finish.go
+++ b/internal/entry/forward/finish.go
@@ -89,8 +89,8 @@
 	if s.answerPartial(r) {
 		return
 	}
-	if r.delegation != nil {
-		r.delegation.peer.avoidUntil = s.now.Add(peerPause)
+	if d := r.delegation; d != nil && !s.waitedForTarget(d) {
+		d.peer.avoidUntil = s.now.Add(peerPause)
 	}
 	s.fail(r, ReasonTimeout)
 }
