--- a/internal/testbin/testbin.go
+++ b/internal/testbin/testbin.go
@@ -13,7 +13,7 @@
 const (
 	// PreviousCommit is the last landing before the present work. Tests of upgrades run programs
 	// of both builds beside each other.
-	PreviousCommit = "59068ae677589d4e6fbf20caece723f2963bb52d"
+	PreviousCommit = "476b3183b6e4a4f6ca9f30cbf8a0242c3a9bff84"
 	// CommitBeforeEvacuation is the last landing whose programs know no orders to evacuate.
 	CommitBeforeEvacuation = "8abf1eff4a47d5fa07601b31094f5b6c4052a4ab"
 )
