A peer with another routing table is asked again after 100 ms

Cause: two nodes have different tables for some milliseconds whenever the table changes. A peer that refused a request for that was not asked for a second. In a series of changes 0.6 s apart the only sound peer was hardly ever asked.

Evidence: TestPeerWithAnotherTableIsAskedAgainSoon failed before (20 of 100 passed on).

--- a/internal/entry/forward/delegate.go
+++ b/internal/entry/forward/delegate.go
@@ -278,11 +278,13 @@
 	if ev.Stopping {
 		p.lastUntil = s.now.Add(peerPause)
 	}
-	unable := ev.Reason == ReasonIsolated || ev.Reason == ReasonOtherTable || ev.Reason == ReasonShutdown
+	unable := ev.Reason == ReasonIsolated || ev.Reason == ReasonShutdown
 	switch {
 	case ev.Outcome == DelegationLost && s.waitedForTarget(d):
 	case ev.Outcome == DelegationNotSent, ev.Outcome == DelegationLost, unable:
 		p.avoidUntil = s.now.Add(peerPause)
+	case ev.Reason == ReasonOtherTable:
+		p.avoidUntil = s.now.Add(tablePause)
 	case ev.Reason == ReasonNoTarget, ev.Reason == ReasonLowCoverage:
 		if r.bound == nil {
 			p.lastUntil = s.now.Add(lackPause)
--- a/internal/entry/forward/delegate_test.go
+++ b/internal/entry/forward/delegate_test.go
@@ -526,3 +526,30 @@
 		})
 	}
 }
+
+// TestPeerWithAnotherTableIsAskedAgainSoon guards against a node that has one peer left and refuses most requests while the routing table changes twice a second.
+//
+// fault: cut-from-targets x forward
+func TestPeerWithAnotherTableIsAskedAgainSoon(t *testing.T) {
+	const between = 600 * time.Millisecond
+	h := newIsolatedHarness(t, plainRoute("h", "a", true))
+	h.apply(PeersChanged{Peers: []Peer{farPeer}})
+	passedOn, asked := 0, 0
+	for range 10 {
+		_, effects := h.arriveAt("h")
+		for _, d := range find[Delegate](effects) {
+			h.apply(DelegationEnded{Delegation: d.Delegation, Outcome: DelegationRefused, Status: 503, Reason: ReasonOtherTable})
+		}
+		for range 10 {
+			h.advance(between / 10)
+			_, effects := h.arriveAt("h")
+			asked++
+			for _, d := range find[Delegate](effects) {
+				passedOn++
+				h.apply(DelegationEnded{Delegation: d.Delegation, Outcome: DelegationAnswered, Status: 200})
+			}
+		}
+	}
+	// RECOVER: at least two thirds.
+	assert.Assert(t, 3*passedOn >= 2*asked, "%d of %d passed on", passedOn, asked)
+}
--- a/internal/entry/forward/peer.go
+++ b/internal/entry/forward/peer.go
@@ -16,6 +16,10 @@
 	// peerPause is how long a peer gets no requests after it could not be reached or has
 	// refused one for a reason of its own.
 	peerPause = time.Second
+	// tablePause is the same after a peer has refused one because another routing table applies
+	// there. Both nodes have the newer table soon; while tables change more often than once in
+	// peerPause, a node with one peer left would refuse most requests.
+	tablePause = 100 * time.Millisecond
 	// peerRequestCost is the cost of each request that waits for a peer's response, in the
 	// time by which peers are compared. It spreads requests over the data centre's own
 	// peers before others.
