Optional parts: the usual word for parts that a gather can be answered without

The estimate of a reply's time is shared by all parts of a route in a pool, so it leaves regions out, instead of those of the part that asked first. No other decision changes.

--- a/internal/entry/forward/admit.go
+++ b/internal/entry/forward/admit.go
@@ -78,14 +78,15 @@
 }
 
 // replyTime returns how long a part takes at the target of its pool that would answer it first,
-// with what the targets have to do before.
+// with what the targets have to do before. Regions are left out, so that the parts of a route
+// share the estimate.
 func (s *State) replyTime(p *part) time.Duration {
 	e, route := &p.pool.replyEstimate, p.request.route
 	if e.route == route && e.at.Equal(s.now) && e.attempt == s.lastAttempt {
 		return e.time
 	}
 	work, best := s.usualWork(route), time.Duration(0)
-	leaving := s.needsLeaving(p.pool, p.request.bound)
+	leaving := s.needsLeaving(p.pool, nil)
 	for _, t := range p.pool.targets {
 		if !s.takesRequests(t, leaving) || t.unreachable || s.now.Before(t.heldUntil(s.now)) {
 			continue
--- a/internal/entry/forward/fairqueue.go
+++ b/internal/entry/forward/fairqueue.go
@@ -59,13 +59,14 @@
 	var best *part
 	var bestTurn turn
 	p.fairness.round++
-	spareFirst := p.isSpareTurn()
+	optionalFirst := p.isOptionalTurn()
 	for _, w := range p.waiting {
 		if blocked.contains(w) {
 			continue
 		}
 		t := p.fairness.turnOf(s.now, s.flowOf(w))
-		t.late, t.last, t.fresh = s.isTooLate(w) || !w.request.returning && s.isLate(w), w.isSpare() != spareFirst, !w.request.returning
+		t.fresh, t.last = !w.request.returning, w.isOptional() != optionalFirst
+		t.late = s.isTooLate(w) || t.fresh && s.isLate(w)
 		if best == nil || t.before(bestTurn) {
 			best, bestTurn = w, t
 		}
@@ -78,15 +79,15 @@
 	if len(p.pool.waiting) == 0 {
 		return 0
 	}
-	of, own, spare := s.flowOf(p), 0, 0
+	of, own, optional := s.flowOf(p), 0, 0
 	gather := p.request.route.config.IsGather()
 	p.pool.fairness.beginCount()
 	for _, w := range p.pool.waiting {
 		if s.isTooLate(w) {
 			continue
 		}
-		if !gather && w.isSpare() {
-			spare++
+		if !gather && w.isOptional() {
+			optional++
 			continue
 		}
 		switch other := s.flowOf(w); {
@@ -97,7 +98,7 @@
 		}
 	}
 	ahead, least := p.pool.fairness.waitOf(s.now, of, own)
-	ahead += min(spare, spareAmong(ahead))
+	ahead += min(optional, optionalAmong(ahead))
 	if ahead > 0 {
 		least = max(least, p.pool.admission.EstimateWait(ahead+1))
 	}
--- a/internal/entry/forward/pool.go
+++ b/internal/entry/forward/pool.go
@@ -24,10 +24,10 @@
 	// waiting is the queue of parts that found no target with room, ordered by
 	// precedes.
 	waiting []*part
-	// sentBeforeSpare counts the parts that were sent while spare ones waited, since the last
-	// spare one.
-	sentBeforeSpare int
-	replyEstimate   replyEstimate
+	// sentBeforeOptional counts the parts that were sent while optional ones waited, since the last
+	// optional one.
+	sentBeforeOptional int
+	replyEstimate      replyEstimate
 	// admission estimates how fast the queue is served.
 	admission limit.Admission
 	// fairness divides the pool among client accounts.
--- a/internal/entry/forward/queue.go
+++ b/internal/entry/forward/queue.go
@@ -4,16 +4,16 @@
 
 // The parts of gathers and plain requests wait for a pool in one queue. What callers lose
 // decides who goes first: a plain request fails without its part, and so does a gather that has
-// too few others, but one that has enough is only answered without the pool. Such spare parts
-// come after the others, except for one send in spareTurn.
+// too few others, but one that has enough is only answered without the pool. Such optional parts
+// come after the others, except for one send in optionalTurn.
 
-// spareTurn is how many parts are sent for one spare part while parts of both kinds wait. It
+// optionalTurn is how many parts are sent for one optional part while parts of both kinds wait. It
 // keeps gathers from never getting a pool that plain requests use up.
-const spareTurn = 4
+const optionalTurn = 4
 
-// isSpare reports whether the request of a queued part can be answered without it: enough other
+// isOptional reports whether the request of a queued part can be answered without it: enough other
 // parts are in flight or answered.
-func (p *part) isSpare() bool {
+func (p *part) isOptional() bool {
 	r := p.request
 	return r.route.config.IsGather() && r.placed >= r.neededParts()
 }
@@ -96,24 +96,24 @@
 	}
 }
 
-// takeTurn counts the sends after which a spare part has its turn.
+// takeTurn counts the sends after which an optional part has its turn.
 func takeTurn(p *part) {
 	switch {
-	case p.isSpare():
-		p.pool.sentBeforeSpare = 0
-	case slices.ContainsFunc(p.pool.waiting, (*part).isSpare):
-		p.pool.sentBeforeSpare++
+	case p.isOptional():
+		p.pool.sentBeforeOptional = 0
+	case slices.ContainsFunc(p.pool.waiting, (*part).isOptional):
+		p.pool.sentBeforeOptional++
 	}
 }
 
 // isLate reports whether a part sent now would be answered past its goal, or belongs to a
-// returning caller, who has missed it. A late spare part is of no use at all, so what a busy
+// returning caller, who has missed it. A late optional part is of no use at all, so what a busy
 // target has to do before counts too: else such a target would get only late ones.
 func (s *State) isLate(p *part) bool {
 	if !s.isTimely(p) {
 		return true
 	}
-	return p.isSpare() && !s.now.Add(s.replyTime(p)).Before(p.request.due)
+	return p.isOptional() && !s.now.Add(s.replyTime(p)).Before(p.request.due)
 }
 
 // nextWaiting returns the queued part to send next, nil if all are blocked. Parts that can
@@ -122,14 +122,14 @@
 	if s.sharesFairly() {
 		return s.nextFair(p, blocked)
 	}
-	spareFirst := p.isSpareTurn()
+	optionalFirst := p.isOptionalTurn()
 	var best *part
 	var bestLate, bestLast bool
 	for _, w := range p.waiting {
 		if blocked.contains(w) {
 			continue
 		}
-		late, last := s.isLate(w), w.isSpare() != spareFirst
+		late, last := s.isLate(w), w.isOptional() != optionalFirst
 		if best == nil || bestLate && !late || bestLate == late && bestLast && !last {
 			best, bestLate, bestLast = w, late, last
 		}
@@ -140,14 +140,14 @@
 	return best
 }
 
-// isSpareTurn reports whether spare parts come before the others.
-func (p *pool) isSpareTurn() bool { return p.sentBeforeSpare >= spareTurn-1 }
+// isOptionalTurn reports whether optional parts come before the others.
+func (p *pool) isOptionalTurn() bool { return p.sentBeforeOptional >= optionalTurn-1 }
 
 // countBefore returns how many of its pool's queued parts come before a part that is not
 // queued, of those for which counts returns true. All come before a gather's part, which may
-// turn out to be spare.
+// turn out to be optional.
 func (s *State) countBefore(p *part, counts func(*part) bool) int {
-	needed, spare := 0, 0
+	needed, optional := 0, 0
 	gather := p.request.route.config.IsGather()
 	p.startBy = s.lastStart(p.request)
 	for _, w := range p.pool.waiting {
@@ -155,15 +155,15 @@
 		case !counts(w):
 		case gather:
 			needed++
-		case w.isSpare():
-			spare++
+		case w.isOptional():
+			optional++
 		case precedes(p, w):
 		default:
 			needed++
 		}
 	}
-	return needed + min(spare, spareAmong(needed))
+	return needed + min(optional, optionalAmong(needed))
 }
 
-// spareAmong returns how many spare parts are sent until a number of others have been.
-func spareAmong(needed int) int { return (needed + spareTurn - 2) / (spareTurn - 1) }
+// optionalAmong returns how many optional parts are sent until a number of others have been.
+func optionalAmong(needed int) int { return (needed + optionalTurn - 2) / (optionalTurn - 1) }
--- a/internal/entry/forward/sharing_test.go
+++ b/internal/entry/forward/sharing_test.go
@@ -160,10 +160,10 @@
 	h.onlySend(later)
 }
 
-// TestPlainRequestGetsScarceTokensBeforeSpareParts guards against refusing a plain request at once because parts that gathers can do without wait for a target with a rate limit.
+// TestPlainRequestGetsScarceTokensBeforeOptionalParts guards against refusing a plain request at once because parts that gathers can do without wait for a target with a rate limit.
 //
 // fault: overload x forward
-func TestPlainRequestGetsScarceTokensBeforeSpareParts(t *testing.T) {
+func TestPlainRequestGetsScarceTokensBeforeOptionalParts(t *testing.T) {
 	gather := gatherRoute("gather", "a", "b")
 	gather.LeastCoverage = 0.5
 	h := newHarness(t, newTable(1, gather, plainRoute("plain", "a", true)))
