Requests that wait for a connection are not sent past the drain time of a target

A request that was chosen for a target in time may wait for one of its connections and then reach it late. A second before its drain time is over a target that leaves is suspended, as those of evacuated data centres are: what waits ends as not sent and is placed again. Found by reading; the test fails without the change.

--- a/internal/entry/forward/leaving.go
+++ b/internal/entry/forward/leaving.go
@@ -12,8 +12,7 @@
 // know of it, so the time since this node learned of it is no shorter than that since the
 // acknowledgement.
 
-// drainMargin is the end of the drain time in which nothing is sent to a target: a connection
-// may take as long to open.
+// drainMargin is the end of the drain time in which nothing is sent to a target.
 const drainMargin = time.Second
 
 // applyAnnouncement applies the newest announcement of a target.
@@ -51,3 +50,17 @@
 func (s *State) takesRequests(t *target, leaving bool) bool {
 	return t.acceptsWork() || leaving && s.servesOn(t)
 }
+
+// suspendDrained keeps requests that still wait for a connection from being sent to targets
+// whose drain time is nearly over.
+func (s *State) suspendDrained() {
+	if s.options.DrainTime <= 0 {
+		return
+	}
+	for _, t := range s.targets {
+		if !t.leavingSince.IsZero() && !t.drained && !s.servesOn(t) {
+			t.drained = true
+			s.shareConnections(t)
+		}
+	}
+}
--- a/internal/entry/forward/leaving_test.go
+++ b/internal/entry/forward/leaving_test.go
@@ -119,3 +119,24 @@
 		})
 	}
 }
+
+// TestNothingWaitsForAConnectionBeyondTheDrainTime guards against requests that were chosen for a target in time and reach it late, as its connections were in use.
+//
+// fault: failing-target x drain
+func TestNothingWaitsForAConnectionBeyondTheDrainTime(t *testing.T) {
+	h := newLeavingHarness(t, true)
+	h.announce("1", 1, 1, api.TargetReady)
+	h.announce("2", 1, 1, api.TargetReady)
+	h.announce("1", 1, 2, api.TargetDraining)
+	suspended := func(effects []Effect) bool {
+		for _, c := range find[Connect](effects) {
+			if c.Target == "1" && c.Suspended {
+				return true
+			}
+		}
+		return false
+	}
+	assert.Assert(t, !suspended(h.tickFor(testDrainTime-drainMargin-200*time.Millisecond)))
+	assert.Assert(t, suspended(h.tickFor(400*time.Millisecond)))
+	assert.Assert(t, !suspended(h.tickFor(time.Second)), "once is enough")
+}
--- a/internal/entry/forward/state.go
+++ b/internal/entry/forward/state.go
@@ -346,6 +346,7 @@
 	case Tick:
 		s.openForHedges()
 		s.checkIsolation()
+		s.suspendDrained()
 		s.sendDueProbes()
 		s.quotas.node.Tick(s.quotas.now)
 	default:
--- a/internal/entry/forward/target.go
+++ b/internal/entry/forward/target.go
@@ -103,6 +103,8 @@
 
 	// leavingSince is when this node learned that the target, which accepted work, leaves.
 	leavingSince time.Time
+	// drained is set once its drain time is nearly over.
+	drained bool
 
 	// evacuated is set while the target's data centre is evacuated.
 	evacuated bool
--- a/internal/entry/forward/topology.go
+++ b/internal/entry/forward/topology.go
@@ -169,7 +169,7 @@
 	t.preopened, t.kept = preopen, maxIdle
 	s.emit(Connect{
 		Target: t.id(), Address: t.announcement.Address, Connections: t.share, Preopen: preopen, MaxIdle: maxIdle,
-		Suspended: t.evacuated,
+		Suspended: t.evacuated || t.drained,
 	})
 }
 
