--- a/internal/control/driver/join.go
+++ b/internal/control/driver/join.go
@@ -105,8 +105,9 @@
 
 func (n *Node) inGroup() bool {
 	member := false
-	// The only error is that the process is stopping.
-	_ = n.inspect(n.stop, func(s *replica.State) { member = isMember(s) })
+	if err := n.inspect(n.stop, func(s *replica.State) { member = isMember(s) }); err != nil {
+		return false // the process is stopping, and the loop may still set member
+	}
 	return member
 }
 
