--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -16,6 +16,7 @@
 )
 
 var cases = map[string]func(*record, string, bool) (bool, error){
+	"stray-check-in":         strayCheckIn,
 	"half-closed":            halfClosed,
 	"departed-after-restart": departedAfterRestart,
 	"crash-after-restart":    crashAfterRestart,
