--- a/review/cases2/stray.go
+++ b/review/cases2/stray.go
@@ -81,9 +81,10 @@
 			s.mu.Lock()
 			b := s.current
 			s.mu.Unlock()
+			// A copy of the searcher's last check-in, but for the service.
 			body, _ := json.Marshal(map[string]any{
 				"backend": later, "addr": s.address, "zone": s.zone, "version": "v1", "capacity": s.slots,
-				"state": "ready", "warmup_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+				"state": "ready", "warmup_left_ms": 0, "seq": b.seq.Load(), "born": b.born,
 			})
 			rec.add("another writer checks in as %s at %s for %s: %v", b.id, s.address, later, b.post("/Instances.Heartbeat/"+b.id, body))
 		}
