--- a/review/cases2/crash.go
+++ b/review/cases2/crash.go
@@ -18,8 +18,8 @@
 )
 
 // crashAfterRestart sends a request that crashes each searcher which begins to run it, until the
-// system refuses it. Then all processes of the system are killed and started again, and the same
-// request comes again.
+// system refuses it. Right after a version is acknowledged, all processes of the system are killed
+// and started again, and the same request comes again.
 func crashAfterRestart(rec *record, programs string, trouble bool) (bool, error) {
 	c, err := newCluster(rec, programs, 2)
 	if err != nil {
@@ -60,6 +60,9 @@
 		}
 	}
 	poison(contactTime + 4*time.Second)
+	if err := c.replaceConfig(9, document(9, "safe", "kafi81c", 2), 5*time.Second); err != nil {
+		return false, err
+	}
 	if trouble {
 		rec.add("all processes are killed")
 		c.kill(c.all())
